log which requests a crash is counted for and how far their answers had come

Change: the line crash_suspect, with progress, prompt parts and the crashes counted; progress in attempt.

--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -12,32 +12,50 @@
 
 // CrashTracker counts the servers that crashed while running the same request.
 type CrashTracker struct {
-	Requests map[uint64]*CrashCounts // By request digest.
-	Suspects map[ServerID][]uint64   // Digests of requests interrupted by a server whose liveness check is pending.
+	Requests map[uint64]*CrashCounts      // By request digest.
+	Suspects map[ServerID][]*CrashSuspect // Requests interrupted by a server whose liveness check is pending.
+}
+
+// CrashSuspect is a request that was in flight on a server when the server dropped its connection.
+type CrashSuspect struct {
+	RequestID   string
+	Digest      uint64
+	PromptParts []PromptPart
+	Progress    Progress
 }
 
 // AddSuspect records a request whose connection the server dropped and reports whether a
 // liveness check of the server must be started.
-func (t *CrashTracker) AddSuspect(id ServerID, digest uint64) bool {
+func (t *CrashTracker) AddSuspect(id ServerID, suspect *CrashSuspect) bool {
 	if t.Suspects == nil {
-		t.Suspects = map[ServerID][]uint64{}
+		t.Suspects = map[ServerID][]*CrashSuspect{}
 	}
-	digests, isPending := t.Suspects[id]
-	if len(digests) < maxTrackedRequests {
-		t.Suspects[id] = append(digests, digest)
+	suspects, isPending := t.Suspects[id]
+	if len(suspects) < maxTrackedRequests {
+		t.Suspects[id] = append(suspects, suspect)
 	}
 	return !isPending
 }
 
-// ResolveSuspects applies the result of a liveness check: if the server is down, a crash is
-// counted for each request that it interrupted.
-func (t *CrashTracker) ResolveSuspects(id ServerID, alive bool, now time.Time) {
-	for _, digest := range t.Suspects[id] {
+// ResolveSuspects applies the result of a liveness check and returns the requests that the server
+// interrupted: if it is down, a crash is counted for each of them.
+func (t *CrashTracker) ResolveSuspects(id ServerID, alive bool, now time.Time) []*CrashSuspect {
+	suspects := t.Suspects[id]
+	delete(t.Suspects, id)
+	for _, suspect := range suspects {
 		if !alive {
-			t.CountCrash(digest, now)
+			t.CountCrash(suspect.Digest, now)
 		}
 	}
-	delete(t.Suspects, id)
+	return suspects
+}
+
+// Count returns the number of known crashes of a request.
+func (t *CrashTracker) Count(digest uint64) int {
+	if c := t.Requests[digest]; c != nil {
+		return c.Total()
+	}
+	return 0
 }
 
 // CrashCounts counts the crashes attributed to one request, by source.
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -97,6 +97,9 @@
 	ConfigVersion int64         // Version of the configuration used for the decision.
 	RosterAge     time.Duration // Age of the server list used for the decision.
 	RouterCount   int           // Number of routers that share the fleet's budgets.
+	Progress      Progress      // How far the response had come.
+	PromptParts   []PromptPart  // Parts of the request's prompt.
+	Crashes       int           // Known crashes of servers that the record's request was running on.
 }
 
 // SetTimer requests a TimerFired event at At, replacing any earlier timer.
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -53,6 +53,19 @@
 	}[o]
 }
 
+// Progress is how far the response to an attempt had come.
+type Progress uint8
+
+// Stages of a response.
+const (
+	ProgressNone   Progress = iota // The response header has not arrived.
+	ProgressHeader                 // The header has arrived, but no event of a stream.
+	ProgressEvents                 // At least one complete event has arrived.
+)
+
+// String returns the name of the stage in logs.
+func (p Progress) String() string { return [...]string{"none", "header", "events"}[p] }
+
 // ResponseStarted reports that a server has begun to respond to an attempt.
 type ResponseStarted struct {
 	Number  RequestNumber
@@ -68,6 +81,7 @@
 	Status          int         // HTTP status of the response; zero if there is none.
 	Report          *LoadReport // Nil if the server reported none.
 	ResponseStarted bool        // Part of the response has reached the caller.
+	Progress        Progress    // Of the response to this attempt.
 	Detail          string      // Error text for the log.
 }
 
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -217,7 +217,7 @@
 	if ev.Outcome != OutcomeCompleted {
 		s.emit(LogRecord{
 			Event: "attempt", RequestID: r.ID, Subject: string(r.Server), Outcome: ev.Outcome.String(),
-			Detail: ev.Detail, Status: ev.Status, Attempt: ev.Attempt, Elapsed: now.Sub(r.ArrivedAt),
+			Detail: ev.Detail, Status: ev.Status, Attempt: ev.Attempt, Elapsed: now.Sub(r.ArrivedAt), Progress: ev.Progress,
 		})
 	}
 	switch ev.Outcome {
@@ -263,7 +263,11 @@
 	case OutcomeNotRun, OutcomeConnectionLost, OutcomeMalformed, OutcomeTimedOut:
 		h.RecordFailure(now)
 	}
-	if ev.Outcome == OutcomeConnectionLost && s.Crashes.AddSuspect(r.Server, r.Digest) {
+	if ev.Outcome != OutcomeConnectionLost {
+		return
+	}
+	suspect := &CrashSuspect{RequestID: r.ID, Digest: r.Digest, PromptParts: r.PromptParts, Progress: ev.Progress}
+	if s.Crashes.AddSuspect(r.Server, suspect) {
 		s.emit(CheckServer{Server: r.Server, Address: server.Address})
 	}
 }
@@ -271,7 +275,16 @@
 // handleServerChecked applies the result of a liveness check of a server that dropped
 // connections.
 func (s *State) handleServerChecked(ev ServerChecked, now time.Time) {
-	s.Crashes.ResolveSuspects(ev.Server, ev.Alive, now)
+	outcome := "crashed"
+	if ev.Alive {
+		outcome = "alive"
+	}
+	for _, suspect := range s.Crashes.ResolveSuspects(ev.Server, ev.Alive, now) {
+		s.emit(LogRecord{
+			Event: "crash_suspect", RequestID: suspect.RequestID, Subject: string(ev.Server), Outcome: outcome,
+			Progress: suspect.Progress, PromptParts: suspect.PromptParts, Crashes: s.Crashes.Count(suspect.Digest),
+		})
+	}
 	if ev.Alive || s.Roster.Servers[ev.Server] == nil {
 		return
 	}
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -1,6 +1,8 @@
 package dtnode
 
 import (
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -84,7 +86,20 @@
 	add("rank", e.Placement.Rank, e.Placement.Server != nil)
 	add("load", e.Placement.Load, e.Placement.Server != nil)
 	add("limit", int(e.Placement.Limit), e.Placement.Server != nil)
+	add("progress", e.Progress.String(), e.Progress != dtdispatch.ProgressNone || e.Event == "crash_suspect")
+	add("parts", partIDs(e.PromptParts), len(e.PromptParts) > 0)
+	add("crashes", e.Crashes, e.Crashes != 0)
 	add("copy_from", e.Placement.CacheSource, e.Placement.CacheSource != "")
 	add("detail", e.Detail, e.Detail != "")
 	return fields
 }
+
+// partIDs returns the hexadecimal IDs of prompt parts, separated by commas.
+func partIDs(parts []dtdispatch.PromptPart) string {
+	const base = 16
+	ids := make([]string, len(parts))
+	for i := range parts {
+		ids[i] = strconv.FormatUint(parts[i].ID, base)
+	}
+	return strings.Join(ids, ",")
+}
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -134,7 +134,7 @@
 		info := a.exchange.relay.dialect.ParseResponse(resp.Header)
 		if info.ID == a.exchange.info.ID || info.ID == "" && info.NotRun {
 			a.resp, a.info = resp, info
-			a.result.Status, a.result.Report = resp.StatusCode, info.Report
+			a.result.Status, a.result.Report, a.result.Progress = resp.StatusCode, info.Report, dtdispatch.ProgressHeader
 			return true
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil || info.ID == "" {
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -67,6 +67,7 @@
 	if len(events) == 0 {
 		return nil
 	}
+	a.result.Progress = dtdispatch.ProgressEvents
 	x := a.exchange
 	x.startStream(a)
 	x.caller.addChunk(events)
