requests with a prompt part that crashes servers are blocked, whatever else they hold

Cause: crashes were counted for a digest of the whole request. Requests that share only the part have a digest each, and none reached the limit. Class of fault: a failure is accounted to the whole that carried it, not to what caused it. Change: a crash is reported with the parts of the requests that the server had just begun to answer. A part is blocked after three crashes under two requests or more since a server last answered to it, for requests that have all parts that the crashed ones have in common. Counts that routers summed and passed on are replaced by reports with an id, so that a second arrival counts nothing; reports that support a block are repeated, so that routers that start later or were cut off have them too. Retry-After is the rest of the block. ResponseStarted now means the first event. Why it works: the part is in every report, and no answer clears it; parts that sound requests share are cleared by their answers, and alone never block. Two tests follow the new message; the fleet's one lets servers restart between its crashes, since reports on one server at one moment are of one crash now.

--- a/core/dtdispatch/collect.go
+++ b/core/dtdispatch/collect.go
@@ -36,15 +36,15 @@
 type DomainLoads struct {
 	Domain   string            `msgpack:"d"`
 	InFlight map[ServerRef]int `msgpack:"l"`
-	Crashes  map[uint64]int    `msgpack:"c,omitempty"` // Crashes seen in the domain, by request digest.
+	Crashes  *CrashNews        `msgpack:"cr,omitempty"`
 }
 
 // FleetLoadSummary reports the requests in flight of the fleet to the routers of a domain.
 type FleetLoadSummary struct {
 	From         string             `msgpack:"f"`
-	MeanInFlight map[string]float64 `msgpack:"m"`           // Mean requests in flight per server, by service.
-	BusyServers  map[ServerRef]int  `msgpack:"l"`           // Expected requests in flight, by server: servers near their limit and all servers of small services.
-	Crashes      map[uint64]int     `msgpack:"c,omitempty"` // Crashes seen by all routers, by request digest.
+	MeanInFlight map[string]float64 `msgpack:"m"` // Mean requests in flight per server, by service.
+	BusyServers  map[ServerRef]int  `msgpack:"l"` // Expected requests in flight, by server: servers near their limit and all servers of small services.
+	Crashes      *CrashNews         `msgpack:"cr,omitempty"`
 }
 
 func (*RouterLoads) isPeerMessage()      {}
@@ -63,6 +63,7 @@
 	ByDomain     map[string]LoadSnapshot // At a collector: by other domain.
 	LastTotals   map[ServerRef]int       // At a collector: totals of the last collection.
 	NextAt       time.Time               // Time of the next collection.
+	CrashCursor  CrashCursor             // At a collector: crash reports passed on.
 }
 
 // LoadSnapshot is the load that one router or domain reported.
@@ -113,7 +114,7 @@
 	}
 	s.recordRouterLoads(s.Settings.RouterName, ownLoads, now)
 	domainLoads := sumLoads(fleet.ByRouter, maxSnapshotAge, now)
-	crashes := s.Crashes.RecentCounts(now, (*CrashCounts).DirectTotal)
+	crashes := s.crashNews(&fleet.CrashCursor, false, now)
 	for _, other := range s.otherDomains() {
 		if to := s.collector(other, collectorTimeout, now); to != "" {
 			s.emit(SendToPeers{To: to, Message: &DomainLoads{Domain: s.Settings.Domain, InFlight: domainLoads, Crashes: crashes}})
@@ -125,7 +126,8 @@
 	}
 	expected := extrapolateGrowth(total, fleet.LastTotals)
 	fleet.LastTotals = total
-	summary := s.summarizeLoads(total, expected, now)
+	summary := s.summarizeLoads(total, expected)
+	summary.Crashes = crashes
 	fleet.MeanInFlight, fleet.BusyServers, fleet.UpdatedAt = summary.MeanInFlight, summary.BusyServers, now
 	s.sendToDomain(summary, now)
 }
@@ -146,11 +148,8 @@
 
 // summarizeLoads returns the summary for the routers of the domain: means of the totals, and
 // the expected loads of busy servers.
-func (s *State) summarizeLoads(total, expected map[ServerRef]int, now time.Time) *FleetLoadSummary {
-	summary := &FleetLoadSummary{
-		From: s.Settings.RouterName, MeanInFlight: map[string]float64{}, BusyServers: map[ServerRef]int{},
-		Crashes: s.Crashes.RecentCounts(now, (*CrashCounts).Total),
-	}
+func (s *State) summarizeLoads(total, expected map[ServerRef]int) *FleetLoadSummary {
+	summary := &FleetLoadSummary{From: s.Settings.RouterName, MeanInFlight: map[string]float64{}, BusyServers: map[ServerRef]int{}}
 	for service, servers := range s.Roster.ByService {
 		n := 0
 		for _, server := range servers {
@@ -175,9 +174,7 @@
 		peer.LastHeardAt = now
 		s.Peers.ByName[summary.From] = peer
 	}
-	for digest, n := range summary.Crashes {
-		s.Crashes.SetFleetCount(digest, n, now)
-	}
+	s.mergeCrashes(summary.Crashes, now)
 }
 
 // inFlight returns this router's requests in flight by server.
@@ -230,9 +227,7 @@
 		s.FleetLoad.ByDomain = map[string]LoadSnapshot{}
 	}
 	s.FleetLoad.ByDomain[loads.Domain] = LoadSnapshot{InFlight: loads.InFlight, ReceivedAt: now}
-	for digest, n := range loads.Crashes {
-		s.Crashes.SetDomainCount(digest, loads.Domain, n, now)
-	}
+	s.mergeCrashes(loads.Crashes, now)
 }
 
 // sumLoads removes the snapshots older than maxAge and returns the sum of the others.
--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -1,19 +1,33 @@
 package dtdispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits of the crash tracker.
 const (
-	poisonCrashThreshold = 3                // Crashes after which a request is no longer sent.
-	crashRetention       = 60 * time.Second // Time after the latest crash until it is forgotten.
-	maxTrackedRequests   = 1024             // The entry with the oldest crash is evicted first.
-	crashBroadcastPeriod = 5 * time.Second  // Time for which a crash is included in messages to peers.
+	maxCrashReports  = 1024            // The oldest report is evicted first.
+	crashRetention   = maxBlockPeriod  // A report this old no longer supports a block.
+	crashMergePeriod = 2 * time.Second // A server takes longer to restart; reports within it are of one crash.
 )
 
-// CrashTracker counts the servers that crashed while running the same request.
-type CrashTracker struct {
-	Requests map[uint64]*CrashCounts      // By request digest.
-	Suspects map[ServerID][]*CrashSuspect // Requests interrupted by a server whose liveness check is pending.
+// CrashReport states that a server crashed while it had a request in flight. Reports are exchanged
+// between routers and told apart by ID, so that a repeated one is not counted again.
+type CrashReport struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Encoded without field names to save space.
+	ID       uint64
+	Digest   uint64 // Of the request.
+	Server   ServerRef
+	Parts    []uint64 // IDs of the shared prompt parts; empty unless the server had just begun to respond.
+}
+
+// KnownCrash is a report with the time when it became known to this router.
+type KnownCrash struct {
+	CrashReport
+	LearnedAt time.Time
+	Seq       uint64 // Order in which reports and sound parts became known.
+	IsOwn     bool   // This router saw the crash.
 }
 
 // CrashSuspect is a request that was in flight on a server when the server dropped its connection.
@@ -24,164 +38,136 @@
 	Progress    Progress
 }
 
+// crashKey identifies what crashes are counted for: a request or a prompt part.
+type crashKey struct {
+	id     uint64 // Request digest or part ID.
+	isPart bool
+}
+
+// CrashTracker finds the requests and the prompt parts that crash servers.
+type CrashTracker struct {
+	Source   uint64        // Hash of the router and its incarnation, from which report IDs are derived.
+	Reports  []*KnownCrash // In the order in which they became known.
+	Suspects map[ServerID][]*CrashSuspect
+	Sound    map[uint64]SoundPart // By ID, for prompt parts of reports.
+
+	seq   uint64
+	known map[uint64]bool // By report ID.
+	byKey map[crashKey][]*KnownCrash
+}
+
+// SoundPart states that a server has responded to a request with a prompt part without crashing.
+type SoundPart struct {
+	At    time.Time // Time when it became known; reports known by then do not count against the part.
+	Seq   uint64
+	IsOwn bool
+}
+
+// NewCrashTracker returns an empty tracker; source is unique to the incarnation of a router.
+func NewCrashTracker(source uint64) CrashTracker {
+	return CrashTracker{
+		Source: source, Suspects: map[ServerID][]*CrashSuspect{}, Sound: map[uint64]SoundPart{},
+		known: map[uint64]bool{}, byKey: map[crashKey][]*KnownCrash{},
+	}
+}
+
 // AddSuspect records a request whose connection the server dropped and reports whether a
 // liveness check of the server must be started.
 func (t *CrashTracker) AddSuspect(id ServerID, suspect *CrashSuspect) bool {
-	if t.Suspects == nil {
-		t.Suspects = map[ServerID][]*CrashSuspect{}
-	}
 	suspects, isPending := t.Suspects[id]
-	if len(suspects) < maxTrackedRequests {
+	if len(suspects) < maxCrashReports {
 		t.Suspects[id] = append(suspects, suspect)
 	}
 	return !isPending
 }
 
 // ResolveSuspects applies the result of a liveness check and returns the requests that the server
-// interrupted: if it is down, a crash is counted for each of them.
+// interrupted: if it is down, a crash is reported for each of them.
 func (t *CrashTracker) ResolveSuspects(id ServerID, alive bool, now time.Time) []*CrashSuspect {
 	suspects := t.Suspects[id]
 	delete(t.Suspects, id)
+	if alive {
+		return suspects
+	}
 	for _, suspect := range suspects {
-		if !alive {
-			t.CountCrash(suspect.Digest, now)
+		report := CrashReport{ID: Mix(t.Source, t.seq), Digest: suspect.Digest, Server: ServerRef(HashString(string(id)))}
+		if suspect.Progress == ProgressHeader {
+			report.Parts = sharedPartIDs(suspect.PromptParts)
 		}
+		t.add(report, true, now)
 	}
 	return suspects
 }
 
-// Count returns the number of known crashes of a request.
-func (t *CrashTracker) Count(digest uint64) int {
-	if c := t.Requests[digest]; c != nil {
-		return c.Total()
-	}
-	return 0
-}
-
-// CrashCounts counts the crashes attributed to one request, by source.
-type CrashCounts struct {
-	Local      int            // Seen by this router.
-	ByPeer     map[string]int // By name of the router.
-	ByDomain   map[string]int // By other failure domain, as reported by its collector in a large fleet.
-	FleetTotal int            // Sum over all routers, as reported by the collector of this router's failure domain.
-	UpdatedAt  time.Time      // Time when the latest crash became known.
-}
-
-// DirectTotal returns the number of crashes seen by this router and by the peers that send it
-// their statuses.
-func (c *CrashCounts) DirectTotal() int {
-	n := c.Local
-	for _, count := range c.ByPeer {
-		n += count
-	}
-	return n
-}
-
-// Total returns the number of known crashes in the fleet.
-func (c *CrashCounts) Total() int {
-	n := c.DirectTotal()
-	for _, count := range c.ByDomain {
-		n += count
-	}
-	return max(n, c.FleetTotal)
-}
+// AddReport records a report of another router.
+func (t *CrashTracker) AddReport(report CrashReport, now time.Time) { t.add(report, false, now) }
 
-// raiseCount raises the count of a source. A count that does not grow leaves UpdatedAt
-// unchanged, so repeated messages do not prolong the retention.
-func (c *CrashCounts) raiseCount(counts map[string]int, source string, count int, now time.Time) map[string]int {
-	if counts == nil {
-		counts = map[string]int{}
+func (t *CrashTracker) add(report CrashReport, isOwn bool, now time.Time) {
+	if t.known[report.ID] {
+		return
 	}
-	if count > counts[source] {
-		counts[source] = count
-		c.UpdatedAt = now
+	for len(t.Reports) > 0 && (len(t.Reports) >= maxCrashReports || now.Sub(t.Reports[0].LearnedAt) > crashRetention) {
+		t.removeOldest()
+	}
+	t.seq++
+	crash := &KnownCrash{CrashReport: report, LearnedAt: now, Seq: t.seq, IsOwn: isOwn}
+	t.Reports = append(t.Reports, crash)
+	t.known[report.ID] = true
+	for _, key := range crash.keys() {
+		t.byKey[key] = append(t.byKey[key], crash)
+	}
+}
+
+func (t *CrashTracker) removeOldest() {
+	oldest := t.Reports[0]
+	t.Reports = t.Reports[1:]
+	delete(t.known, oldest.ID)
+	for _, key := range oldest.keys() {
+		t.byKey[key] = t.byKey[key][1:]
+		if len(t.byKey[key]) == 0 {
+			delete(t.byKey, key)
+			if key.isPart {
+				delete(t.Sound, key.id)
+			}
+		}
 	}
-	return counts
-}
-
-// CountCrash counts a crash seen by this router.
-func (t *CrashTracker) CountCrash(digest uint64, now time.Time) {
-	c := t.entry(digest, now)
-	c.Local++
-	c.UpdatedAt = now
-}
-
-// SetPeerCount merges the count of a peer.
-func (t *CrashTracker) SetPeerCount(digest uint64, peer string, count int, now time.Time) {
-	c := t.entry(digest, now)
-	c.ByPeer = c.raiseCount(c.ByPeer, peer, count, now)
-}
-
-// SetDomainCount merges the count of another failure domain.
-func (t *CrashTracker) SetDomainCount(digest uint64, domain string, count int, now time.Time) {
-	c := t.entry(digest, now)
-	c.ByDomain = c.raiseCount(c.ByDomain, domain, count, now)
 }
 
-// SetFleetCount merges the count of the fleet.
-func (t *CrashTracker) SetFleetCount(digest uint64, count int, now time.Time) {
-	c := t.entry(digest, now)
-	if count > c.FleetTotal {
-		c.FleetTotal, c.UpdatedAt = count, now
+// keys returns what the report counts against.
+func (c *KnownCrash) keys() []crashKey {
+	keys := []crashKey{{id: c.Digest}}
+	for _, part := range c.Parts {
+		keys = append(keys, crashKey{id: part, isPart: true})
 	}
+	return keys
 }
 
-// IsBlocked reports whether a request must not be sent to any more servers.
-func (t *CrashTracker) IsBlocked(digest uint64, now time.Time) bool {
-	c := t.Requests[digest]
-	if c == nil || now.Sub(c.UpdatedAt) > crashRetention {
-		return false
+// MarkSound records that a server has responded to a request with these prompt parts.
+func (t *CrashTracker) MarkSound(parts []PromptPart, now time.Time) {
+	if len(t.Reports) == 0 {
+		return
 	}
-	return c.Total() >= poisonCrashThreshold
-}
-
-// RecentCounts returns the nonzero counts, by request digest, that are still broadcast at now.
-func (t *CrashTracker) RecentCounts(now time.Time, count func(*CrashCounts) int) map[uint64]int {
-	var counts map[uint64]int
-	for digest, c := range t.Requests {
-		n := count(c)
-		if n == 0 || now.Sub(c.UpdatedAt) >= crashBroadcastPeriod {
-			continue
-		}
-		if counts == nil {
-			counts = map[uint64]int{}
-		}
-		counts[digest] = n
+	for _, id := range sharedPartIDs(parts) {
+		t.markSound(id, true, now)
 	}
-	return counts
 }
 
-// entry returns the entry of a request, creating it if needed.
-func (t *CrashTracker) entry(digest uint64, now time.Time) *CrashCounts {
-	if t.Requests == nil {
-		t.Requests = map[uint64]*CrashCounts{}
-	}
-	c := t.Requests[digest]
-	if c == nil {
-		t.evict(now)
-		c = &CrashCounts{UpdatedAt: now}
-		t.Requests[digest] = c
+func (t *CrashTracker) markSound(part uint64, isOwn bool, now time.Time) {
+	if len(t.byKey[crashKey{id: part, isPart: true}]) == 0 {
+		return
 	}
-	return c
+	t.seq++
+	t.Sound[part] = SoundPart{At: now, Seq: t.seq, IsOwn: isOwn}
 }
 
-// evict removes the expired entries from a full table or, if there are none, the oldest entry.
-func (t *CrashTracker) evict(now time.Time) {
-	if len(t.Requests) < maxTrackedRequests {
-		return
-	}
-	oldest := uint64(0)
-	oldestAt := now
-	for digest, c := range t.Requests {
-		if now.Sub(c.UpdatedAt) > crashRetention {
-			delete(t.Requests, digest)
-			continue
+// sharedPartIDs returns the distinct IDs of the parts that other requests may share, which are all
+// but the last.
+func sharedPartIDs(parts []PromptPart) []uint64 {
+	var ids []uint64
+	for i := range len(parts) - 1 {
+		if !slices.Contains(ids, parts[i].ID) {
+			ids = append(ids, parts[i].ID)
 		}
-		if !c.UpdatedAt.After(oldestAt) {
-			oldest, oldestAt = digest, c.UpdatedAt
-		}
-	}
-	if len(t.Requests) >= maxTrackedRequests {
-		delete(t.Requests, oldest)
 	}
+	return ids
 }
--- /dev/null
+++ b/core/dtdispatch/crash_test.go
@@ -0,0 +1,155 @@
+package dtdispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
+)
+
+func TestCrashes(t *testing.T) {
+	t.Run("a request is not sent after three crashes", func(t *testing.T) {
+		r := newRouter(t, 9)
+		sameDigest := func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 }
+		for range 3 {
+			n := r.sendRequest("/once/x", sameDigest)
+			r.onlySend()
+			r.crashServer(n)
+		}
+		r.sendRequest("/once/x", sameDigest)
+		r.Expect(r.onlyRefusal().Reason).To(Equal(dtdispatch.ReasonPoison))
+		r.sendRequest("/once/x")
+		r.onlySend()
+	})
+	t.Run("crashes seen by peers count", func(t *testing.T) {
+		r := newRouter(t, 9)
+		for i, peer := range []string{"r2", "r3"} {
+			news := &dtdispatch.CrashNews{Reports: []dtdispatch.CrashReport{{ID: uint64(i), Digest: 99, Server: dtdispatch.ServerRef(i)}}}
+			r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{From: peer, Start: 1, Crashes: news}})
+		}
+		sameDigest := func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 }
+		n := r.sendRequest("/once/x", sameDigest)
+		r.crashServer(n)
+		r.sendRequest("/once/x", sameDigest)
+		r.Expect(r.onlyRefusal().Status).To(Equal(503))
+	})
+	t.Run("a connection lost by a live server is not a crash", func(t *testing.T) {
+		r := newRouter(t, 9)
+		sameDigest := func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 }
+		for range 5 {
+			n := r.sendRequest("/once/x", sameDigest)
+			server := r.onlySend().Server
+			r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost)
+			r.step(dtdispatch.ServerChecked{Server: server, Alive: true})
+		}
+		r.sendRequest("/once/x", sameDigest)
+		r.onlySend()
+	})
+	t.Run("the next status reports a crash to peers", func(t *testing.T) {
+		r := newRouter(t, 9)
+		n := r.sendRequest("/once/x")
+		r.crashServer(n)
+		messages := effectsOf[dtdispatch.SendToPeers](r.advance(300 * time.Millisecond))
+		r.Expect(messages).NotTo(BeEmpty())
+		status, ok := messages[len(messages)-1].Message.(*dtdispatch.PeerStatus)
+		r.Expect(ok).To(BeTrue())
+		r.Expect(status.Crashes.Reports).To(HaveLen(1))
+		r.Expect(status.Crashes.Reports[0].Digest).To(Equal(uint64(n)))
+	})
+}
+
+// withParts gives a request a prompt of the given parts and one that is unique.
+func withParts(ids ...uint64) func(*dtdispatch.RequestArrived) {
+	return func(ev *dtdispatch.RequestArrived) {
+		for _, id := range append(ids, 1<<40*uint64(ev.Number)) {
+			ev.PromptParts = append(ev.PromptParts, dtdispatch.PromptPart{ID: id, Tokens: 100})
+		}
+	}
+}
+
+// crashRestartTime is the time until a crashed server accepts requests again.
+const crashRestartTime = 3 * time.Second
+
+// poisonedFleet is a fleet whose servers crash as they begin to respond to requests with a
+// certain prompt part.
+type poisonedFleet struct {
+	*fleet
+	deadly    uint64
+	crashedAt map[dtdispatch.ServerID]time.Time
+}
+
+// serve sends a request with the given parts through a router and returns the number of servers
+// that it reached.
+func (f *poisonedFleet) serve(name string, parts ...uint64) int {
+	r := f.routers[name]
+	r.sendRequest("/stream/x", withParts(parts...), func(ev *dtdispatch.RequestArrived) { ev.Digest = dtdispatch.HashString(name + ev.ID) })
+	reached := 0
+	for {
+		sends := effectsOf[dtdispatch.SendRequest](r.effects)
+		if len(sends) == 0 {
+			return reached
+		}
+		reached += f.runAttempt(r, &sends[0], slices.Contains(parts, f.deadly))
+	}
+}
+
+// runAttempt ends an attempt and returns 1, or 0 if the server is down.
+func (f *poisonedFleet) runAttempt(r *router, send *dtdispatch.SendRequest, isDeadly bool) int {
+	if at, crashed := f.crashedAt[send.Server]; crashed && r.now.Sub(at) < crashRestartTime {
+		r.endAttempt(send.Number, send.Attempt, dtdispatch.OutcomeUnreachable)
+		return 0
+	}
+	if !isDeadly {
+		r.step(dtdispatch.ResponseStarted{Number: send.Number, Attempt: send.Attempt})
+		r.endAttempt(send.Number, send.Attempt, dtdispatch.OutcomeCompleted)
+		return 1
+	}
+	f.crashedAt[send.Server] = r.now
+	r.endAttempt(send.Number, send.Attempt, dtdispatch.OutcomeConnectionLost, func(ev *dtdispatch.AttemptEnded) { ev.Progress = dtdispatch.ProgressHeader })
+	next := r.effects
+	for _, check := range effectsOf[dtdispatch.CheckServer](next) {
+		r.step(dtdispatch.ServerChecked{Server: check.Server})
+	}
+	r.effects = next
+	return 1
+}
+
+// TestPromptPartCrashesServerAfterServer guards against requests that share nothing but a prompt
+// part which crashes servers: each has a digest of its own, and none reaches the limit alone.
+func TestPromptPartCrashesServerAfterServer(t *testing.T) {
+	const common, subject, deadly, otherSubject = 1, 2, 3, 4
+	for name, parts := range map[string][]uint64{
+		"the part is the last shared one": {common, subject, deadly},
+		"the part is in the middle":       {common, deadly, subject},
+		"the part is the first":           {deadly, common, subject},
+	} {
+		for _, size := range []int{4, 48} {
+			t.Run(fmt.Sprintf("%s, %d routers", name, size), func(t *testing.T) {
+				g := NewWithT(t)
+				healthy, names := newLargeFleet(t, size)
+				f := &poisonedFleet{fleet: healthy, deadly: deadly, crashedAt: map[dtdispatch.ServerID]time.Time{}}
+				f.store = testServers(40)
+				f.revision++
+				f.run(4*time.Second, names...)
+				crashed := 0
+				for i := 0; crashed < 5; i++ {
+					crashed += f.serve(names[i%size], parts...)
+					g.Expect(f.serve(names[(i+1)%size], common, otherSubject)).To(Equal(1))
+					f.run(300*time.Millisecond, names...)
+				}
+				f.run(3*time.Second, names...)
+				late := 0
+				for _, name := range names {
+					late += f.serve(name, parts...)
+					g.Expect(f.serve(name, common, subject)).To(Equal(1), "a sound request with the other parts")
+					g.Expect(f.serve(name, common, otherSubject)).To(Equal(1), "a sound request")
+				}
+				g.Expect(late).To(BeNumerically("<=", 3))
+			})
+		}
+	}
+}
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -66,7 +66,7 @@
 // String returns the name of the stage in logs.
 func (p Progress) String() string { return [...]string{"none", "header", "events"}[p] }
 
-// ResponseStarted reports that a server has begun to respond to an attempt.
+// ResponseStarted reports that the first event of a stream has arrived.
 type ResponseStarted struct {
 	Number  RequestNumber
 	Attempt int
--- a/core/dtdispatch/fleet_test.go
+++ b/core/dtdispatch/fleet_test.go
@@ -385,13 +385,14 @@
 			n := r.sendRequest("/read/x", func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 })
 			f.perform(name, append([]dtdispatch.Effect(nil), r.effects...))
 			r.crashServer(n)
+			f.run(3*time.Second, names...) // Reports on one server at the same time would be of one crash.
 		}
 	}
 	f.run(4*time.Second, names...)
 	for _, name := range names {
 		r := f.routers[name]
 		g.Expect(r.state.Roster.OutOfServiceDomains).To(HaveKey("d1"), name)
-		g.Expect(r.state.Crashes.IsBlocked(99, r.now)).To(BeTrue(), name)
+		g.Expect(r.state.Crashes.Block(99, nil).IsActive(r.now)).To(BeTrue(), name)
 	}
 }
 
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -34,7 +34,7 @@
 	Start                int64                `msgpack:"s"`           // Start time of the sender, which identifies its incarnation.
 	InFlight             map[ServerRef]int    `msgpack:"l,omitempty"` // Nonzero numbers of requests in flight; omitted in a large fleet.
 	PartServers          map[uint64]ServerRef `msgpack:"k,omitempty"` // Server that last read a prompt part, by part; omitted in a large fleet.
-	Crashes              map[uint64]int       `msgpack:"c,omitempty"` // Crashes seen by the sender, by request digest.
+	Crashes              *CrashNews           `msgpack:"cr,omitempty"`
 	ConfigVersion        int64                `msgpack:"v"`
 	RosterRevision       uint64               `msgpack:"r"`
 	RosterHash           uint64               `msgpack:"h"`
@@ -86,6 +86,7 @@
 	ConfigRequestedAt time.Time // Time of the last SyncRequest for the configuration.
 	RosterRequestedAt time.Time // Time of the last SyncRequest for the server list.
 	RosterSentAt      time.Time // Time of the last RosterReply to any peer.
+	CrashCursor       CrashCursor
 	lastStatus        PeerStatus
 }
 
@@ -153,9 +154,7 @@
 		s.updatePeerLoads(status, now)
 		s.Prompts.Merge(status.PartServers, now)
 	}
-	for digest, n := range status.Crashes {
-		s.Crashes.SetPeerCount(digest, status.From, n, now)
-	}
+	s.mergeCrashes(status.Crashes, now)
 	s.setOutOfServiceDomains(status.OutOfServiceDomains, status.OutOfServiceRevision)
 	s.syncWithPeer(status, now)
 }
@@ -240,7 +239,8 @@
 	}
 	p.NextStatusAt = now.Add(p.StatusInterval())
 	status := s.peerStatus(now)
-	if now.Sub(p.StatusSentAt) < statusRepeatInterval && len(s.Prompts.Unsent) == 0 && sameStatus(&status, &p.lastStatus) {
+	status.Crashes = s.crashNews(&p.CrashCursor, true, now)
+	if now.Sub(p.StatusSentAt) < statusRepeatInterval && status.Crashes == nil && len(s.Prompts.Unsent) == 0 && sameStatus(&status, &p.lastStatus) {
 		return
 	}
 	p.StatusSentAt = now
@@ -266,7 +266,6 @@
 	} else {
 		status.InFlight = s.inFlight()
 	}
-	status.Crashes = s.Crashes.RecentCounts(now, func(c *CrashCounts) int { return c.Local })
 	return status
 }
 
@@ -275,5 +274,5 @@
 	if a.ConfigVersion != b.ConfigVersion || a.OutOfServiceRevision != b.OutOfServiceRevision {
 		return false
 	}
-	return maps.Equal(a.InFlight, b.InFlight) && maps.Equal(a.Crashes, b.Crashes)
+	return maps.Equal(a.InFlight, b.InFlight)
 }
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -20,7 +20,6 @@
 	retryAfterStopping = 100 * time.Millisecond // Another router serves the request at once.
 	retryAfterBusy     = 300 * time.Millisecond // The duration of a few requests at a full server.
 	retryAfterNoConfig = 500 * time.Millisecond // A router receives the configuration within this time.
-	retryAfterCrashes  = 5 * time.Second        // A retry would only crash another server.
 )
 
 // Request is the state of a caller's request until its final response.
@@ -76,12 +75,23 @@
 		return unavailable(ReasonStopping, retryAfterStopping), false
 	}
 	r.Service = r.Route.PickService(serviceHash(r))
-	if s.Crashes.IsBlocked(r.Digest, now) {
-		return unavailable(ReasonPoison, retryAfterCrashes), false
+	if block := s.Crashes.Block(r.Digest, r.PromptParts); block.IsActive(now) {
+		return s.refuseBlocked(r, block, now), false
 	}
 	return Refuse{}, true
 }
 
+// refuseBlocked returns the refusal of a request that would crash its server; the caller may send
+// it again after the block.
+func (s *State) refuseBlocked(r *Request, block CrashBlock, now time.Time) Refuse {
+	record := LogRecord{Event: "crash_block", RequestID: r.ID, Outcome: "request", Crashes: block.Crashes}
+	if block.Part != 0 {
+		record.Outcome, record.PromptParts = "prompt_part", []PromptPart{{ID: block.Part}}
+	}
+	s.emit(record)
+	return unavailable(ReasonPoison, block.Until.Sub(now))
+}
+
 // authenticate applies the client account of an API key to r and reports whether the request is
 // allowed.
 func (s *State) authenticate(r *Request, key string) bool {
@@ -188,13 +198,14 @@
 }
 
 // handleResponseStarted applies the load report from the response header and records which
-// prompt parts the server has read.
+// prompt parts the server has read and survived.
 func (s *State) handleResponseStarted(ev ResponseStarted, now time.Time) {
 	r := s.Requests[ev.Number]
 	if r == nil || r.Attempt != ev.Attempt {
 		return
 	}
 	s.updateReport(r.Server, ev.Report, now)
+	s.Crashes.MarkSound(r.PromptParts, now)
 	if server := s.Roster.Servers[r.Server]; server != nil {
 		s.Prompts.RecordRead(r.PromptParts, server.Ref(), now)
 	}
@@ -250,6 +261,7 @@
 	}
 	switch ev.Outcome {
 	case OutcomeCompleted:
+		s.Crashes.MarkSound(r.PromptParts, now)
 		h.RecordSuccess()
 	case OutcomeFailure:
 		if ev.Status >= minServerErrorStatus {
@@ -324,7 +336,7 @@
 	switch {
 	case r.SentAttempts >= r.Route.MaxAttempts || r.Deadline.Sub(now) < minTimeForRetry:
 		s.giveUp(r, reason, now)
-	case s.Crashes.IsBlocked(r.Digest, now):
+	case s.Crashes.Block(r.Digest, r.PromptParts).IsActive(now):
 		s.giveUp(r, ReasonPoison, now)
 	case !s.retryBudget(r.Service).Take(s.Settings.Bounds, s.RouterCount(now), now):
 		s.giveUp(r, ReasonRetryBudget, now)
@@ -346,6 +358,8 @@
 		s.refuse(r, Refuse{Status: statusTimeout, Reason: reason}, now)
 	case r.MayHaveRun:
 		s.refuse(r, Refuse{Status: statusBadGateway, Reason: ReasonServerLost}, now)
+	case reason == ReasonPoison:
+		s.refuse(r, s.refuseBlocked(r, s.Crashes.Block(r.Digest, r.PromptParts), now), now)
 	default:
 		s.refuse(r, unavailable(reason, retryAfterBusy), now)
 	}
--- a/core/dtdispatch/request_test.go
+++ b/core/dtdispatch/request_test.go
@@ -188,55 +188,6 @@
 	})
 }
 
-func TestCrashes(t *testing.T) {
-	t.Run("a request is not sent after three crashes", func(t *testing.T) {
-		r := newRouter(t, 9)
-		sameDigest := func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 }
-		for range 3 {
-			n := r.sendRequest("/once/x", sameDigest)
-			r.onlySend()
-			r.crashServer(n)
-		}
-		r.sendRequest("/once/x", sameDigest)
-		r.Expect(r.onlyRefusal().Reason).To(Equal(dtdispatch.ReasonPoison))
-		r.sendRequest("/once/x")
-		r.onlySend()
-	})
-	t.Run("crashes seen by peers count", func(t *testing.T) {
-		r := newRouter(t, 9)
-		for _, peer := range []string{"r2", "r3"} {
-			r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{From: peer, Start: 1, Crashes: map[uint64]int{99: 1}}})
-		}
-		sameDigest := func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 }
-		n := r.sendRequest("/once/x", sameDigest)
-		r.crashServer(n)
-		r.sendRequest("/once/x", sameDigest)
-		r.Expect(r.onlyRefusal().Status).To(Equal(503))
-	})
-	t.Run("a connection lost by a live server is not a crash", func(t *testing.T) {
-		r := newRouter(t, 9)
-		sameDigest := func(ev *dtdispatch.RequestArrived) { ev.Digest = 99 }
-		for range 5 {
-			n := r.sendRequest("/once/x", sameDigest)
-			server := r.onlySend().Server
-			r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost)
-			r.step(dtdispatch.ServerChecked{Server: server, Alive: true})
-		}
-		r.sendRequest("/once/x", sameDigest)
-		r.onlySend()
-	})
-	t.Run("the next status reports a crash to peers", func(t *testing.T) {
-		r := newRouter(t, 9)
-		n := r.sendRequest("/once/x")
-		r.crashServer(n)
-		messages := effectsOf[dtdispatch.SendToPeers](r.advance(300 * time.Millisecond))
-		r.Expect(messages).NotTo(BeEmpty())
-		status, ok := messages[len(messages)-1].Message.(*dtdispatch.PeerStatus)
-		r.Expect(ok).To(BeTrue())
-		r.Expect(status.Crashes).To(HaveKeyWithValue(uint64(n), 1))
-	})
-}
-
 func TestStop(t *testing.T) {
 	t.Run("serves until the load balancer has removed it, then finishes requests in progress", func(t *testing.T) {
 		r := newRouter(t, 2)
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -81,6 +81,7 @@
 		ColdBudgets:  map[ServerID]*ColdBudget{},
 		DomainHealth: map[string]*DomainHealth{},
 		RetryBudgets: map[string]*RetryBudget{},
+		Crashes:      NewCrashTracker(Mix(HashString(settings.RouterName), uint64(settings.Start))),
 		Requests:     map[RequestNumber]*Request{},
 	}
 }
--- a/dottereltack/dtmesh/mesh_test.go
+++ b/dottereltack/dtmesh/mesh_test.go
@@ -49,15 +49,19 @@
 	b, inboxB := startMesh(t, "b")
 	a.SetPeers(map[string]string{"a": a.Address(), "b": b.Address()})
 	loads := map[dtdispatch.ServerRef]int{1 << 31: 3}
+	crashes := &dtdispatch.CrashNews{
+		Reports:    []dtdispatch.CrashReport{{ID: 1 << 63, Digest: 1 << 62, Server: 7, Parts: []uint64{1 << 61}}},
+		SoundParts: []uint64{1 << 60},
+	}
 	messages := []dtdispatch.PeerMessage{
-		&dtdispatch.PeerStatus{From: "a", Address: "1:3", Domain: "d", Start: 5, InFlight: loads, Crashes: map[uint64]int{1 << 63: 2}, ConfigVersion: 7, RosterRevision: 8, RosterHash: 1 << 63, RosterAgeMs: 9, OutOfServiceDomains: []string{"x"}, OutOfServiceRevision: 10},
+		&dtdispatch.PeerStatus{From: "a", Address: "1:3", Domain: "d", Start: 5, InFlight: loads, Crashes: crashes, ConfigVersion: 7, RosterRevision: 8, RosterHash: 1 << 63, RosterAgeMs: 9, OutOfServiceDomains: []string{"x"}, OutOfServiceRevision: 10},
 		&dtdispatch.SyncRequest{From: "a", WantsConfig: true, WantsRoster: true},
 		&dtdispatch.ConfigReply{Source: []byte("text")},
 		&dtdispatch.RosterReply{Servers: []dtdispatch.Server{{ID: "s1", Service: "a", Address: "1:2", ColdFor: time.Second, Draining: true, Seq: 4, Start: 5}}, Revision: 3, AgeMs: 4},
 		&dtdispatch.RosterDelta{BaseHash: 1 << 63, Revision: 2, Removed: []dtdispatch.ServerID{"s2"}},
 		&dtdispatch.RouterLoads{From: "a", InFlight: loads},
-		&dtdispatch.DomainLoads{Domain: "d", InFlight: loads, Crashes: map[uint64]int{1 << 63: 1}},
-		&dtdispatch.FleetLoadSummary{From: "a", MeanInFlight: map[string]float64{"s": 1.5}, BusyServers: loads, Crashes: map[uint64]int{1 << 63: 3}},
+		&dtdispatch.DomainLoads{Domain: "d", InFlight: loads, Crashes: crashes},
+		&dtdispatch.FleetLoadSummary{From: "a", MeanInFlight: map[string]float64{"s": 1.5}, BusyServers: loads, Crashes: crashes},
 	}
 	for _, m := range messages {
 		g.Expect(a.Send("b", m)).To(Succeed())
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -18,8 +18,6 @@
 // forwardStream forwards server-sent events as they arrive. Only complete events are sent,
 // so that another server can resume the stream.
 func (a *attempt) forwardStream() {
-	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.info.Report})
-	a.result.Report = nil
 	events := eventSplitter{}
 	afterID := ""
 	if a.exchange.headSent {
@@ -67,7 +65,7 @@
 	if len(events) == 0 {
 		return nil
 	}
-	a.result.Progress = dtdispatch.ProgressEvents
+	a.postResponseStarted()
 	x := a.exchange
 	x.startStream(a)
 	x.caller.addChunk(events)
@@ -79,6 +77,16 @@
 	return nil
 }
 
+// postResponseStarted tells the reducer that the first event has arrived.
+func (a *attempt) postResponseStarted() {
+	if a.result.Progress == dtdispatch.ProgressEvents {
+		return
+	}
+	a.result.Progress = dtdispatch.ProgressEvents
+	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.info.Report})
+	a.result.Report = nil
+}
+
 // startStream adds the head of the response to the buffer unless it has been sent.
 func (x *exchange) startStream(a *attempt) {
 	if x.headSent {
