--- a/core/dtdispatch/crash_test.go
+++ b/core/dtdispatch/crash_test.go
@@ -153,3 +153,74 @@
 		}
 	}
 }
+
+// deadlyReports returns reports of crashes of different servers under different requests with parts.
+func deadlyReports(n int, parts ...uint64) []dtdispatch.CrashReport {
+	reports := make([]dtdispatch.CrashReport, n)
+	for i := range reports {
+		reports[i] = dtdispatch.CrashReport{ID: uint64(100 + i), Digest: uint64(200 + i), Server: dtdispatch.ServerRef(i), Parts: parts}
+	}
+	return reports
+}
+
+func (r *router) receiveCrashNews(news dtdispatch.CrashNews) {
+	r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{From: "r9", Start: 1, Crashes: &news}})
+}
+
+func TestPromptPartBlock(t *testing.T) {
+	const common, deadly = 1, 3
+	t.Run("tells callers when it ends, and lasts longer after further crashes", func(t *testing.T) {
+		for crashes, period := range map[int]time.Duration{3: time.Minute, 4: 2 * time.Minute, 20: time.Hour} {
+			r := newRouter(t, 9)
+			r.receiveCrashNews(dtdispatch.CrashNews{Reports: deadlyReports(crashes, common, deadly)})
+			r.now = r.now.Add(10 * time.Second)
+			r.sendRequest("/stream/x", withParts(common, deadly))
+			refusal := r.onlyRefusal()
+			r.Expect(refusal.Status).To(Equal(503))
+			r.Expect(refusal.RetryAfter).To(Equal(period - 10*time.Second))
+			r.now = r.now.Add(refusal.RetryAfter)
+			r.sendRequest("/stream/x", withParts(common, deadly))
+			r.onlySend()
+		}
+	})
+	t.Run("does not follow from crashes under one request", func(t *testing.T) {
+		r := newRouter(t, 9)
+		reports := deadlyReports(5, common, deadly)
+		for i := range reports {
+			reports[i].Digest = 77
+		}
+		r.receiveCrashNews(dtdispatch.CrashNews{Reports: reports})
+		r.sendRequest("/stream/x", withParts(common, deadly))
+		r.onlySend()
+	})
+	t.Run("does not count a report that arrives again", func(t *testing.T) {
+		r := newRouter(t, 9)
+		for range 4 {
+			r.receiveCrashNews(dtdispatch.CrashNews{Reports: deadlyReports(2, common, deadly)})
+			r.now = r.now.Add(5 * time.Second)
+		}
+		r.sendRequest("/stream/x", withParts(common, deadly))
+		r.onlySend()
+	})
+	t.Run("ends once a peer has had a response", func(t *testing.T) {
+		r := newRouter(t, 9)
+		r.receiveCrashNews(dtdispatch.CrashNews{Reports: deadlyReports(5, deadly)})
+		r.sendRequest("/stream/x", withParts(common, deadly))
+		r.onlyRefusal()
+		r.receiveCrashNews(dtdispatch.CrashNews{SoundParts: []uint64{deadly}})
+		r.sendRequest("/stream/x", withParts(common, deadly))
+		r.onlySend()
+	})
+	t.Run("reaches a router that starts later", func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, "r1", "r2")
+		f.run(3*time.Second, "r1", "r2")
+		f.routers["r1"].receiveCrashNews(dtdispatch.CrashNews{Reports: deadlyReports(4, common, deadly)})
+		f.run(20*time.Second, "r1", "r2")
+		f.routers["r2"] = newEmptyRouter(t, "r2")
+		f.routers["r2"].now = f.routers["r1"].now
+		f.run(3*time.Second, "r1", "r2")
+		parts := []dtdispatch.PromptPart{{ID: common}, {ID: deadly}, {ID: 9}}
+		g.Expect(f.routers["r2"].state.Crashes.Block(1, parts).IsActive(f.routers["r2"].now)).To(BeTrue())
+	})
+}
