log the request rates that servers name

Change: the report in the header of a response has a type of its own, with the load and the named limit; the line server_limit; rate_limit in request. A load in the answer of another server at the address no longer counts as that of the server that was asked. No placement changed otherwise.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -99,6 +99,7 @@
 	RouterCount   int           // Number of routers that share the fleet's budgets.
 	Progress      Progress      // How far the response had come.
 	PromptParts   []PromptPart  // Parts of the request's prompt.
+	RateLimit     RateLimit     // Named by the server that the record is about.
 	Crashes       int           // Known crashes of servers that the record's request was running on.
 }
 
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -66,11 +66,18 @@
 // String returns the name of the stage in logs.
 func (p Progress) String() string { return [...]string{"none", "header", "events"}[p] }
 
+// ServerReport is what a server states about itself in the header of a response.
+type ServerReport struct {
+	ReceivedAt time.Time
+	Load       *LoadReport // Nil if the server reported none.
+	RateLimit  RateLimit
+}
+
 // ResponseStarted reports that the first event of a stream has arrived.
 type ResponseStarted struct {
 	Number  RequestNumber
 	Attempt int
-	Report  *LoadReport // Nil if the server reported none.
+	Report  *ServerReport
 }
 
 // AttemptEnded reports how an attempt ended.
@@ -78,11 +85,11 @@
 	Number          RequestNumber
 	Attempt         int
 	Outcome         Outcome
-	Status          int         // HTTP status of the response; zero if there is none.
-	Report          *LoadReport // Nil if the server reported none.
-	ResponseStarted bool        // Part of the response has reached the caller.
-	Progress        Progress    // Of the response to this attempt.
-	Detail          string      // Error text for the log.
+	Status          int           // HTTP status of the response; zero if there is none.
+	Report          *ServerReport // Nil if no response header has arrived or ResponseStarted had it.
+	ResponseStarted bool          // Part of the response has reached the caller.
+	Progress        Progress      // Of the response to this attempt.
+	Detail          string        // Error text for the log.
 }
 
 // ServerChecked reports whether a server accepted a connection.
--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -129,10 +129,12 @@
 		delete(s.Loads, id)
 		delete(s.Health, id)
 		delete(s.ColdBudgets, id)
+		delete(s.ServerRates, id)
 		s.emit(LogRecord{Event: "server_left", Subject: string(id)})
 	}
 	for _, id := range added {
 		delete(s.Health, id)
+		delete(s.ServerRates, id)
 		s.emit(LogRecord{Event: "server_listed", Subject: string(id), Detail: s.Roster.Servers[id].Address})
 	}
 }
--- a/core/dtdispatch/place.go
+++ b/core/dtdispatch/place.go
@@ -103,7 +103,8 @@
 	Rank        int     // Position of the server in the ranking, from 0.
 	Load        int     // Estimated requests in flight on the server.
 	Limit       float64 // Load limit of the server.
-	CacheSource string  // Address of another server that probably has the prompt cached, or "".
+	RateLimit   RateLimit
+	CacheSource string // Address of another server that probably has the prompt cached, or "".
 }
 
 // place chooses the server for the next attempt of a request. Server is nil if no server may
@@ -131,7 +132,7 @@
 		if slices.Contains(r.TriedServers, server.ID) || !s.Roster.AcceptsRequests(server) || !s.coldBudgetAllows(server, view.Now) {
 			continue
 		}
-		choice := Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit}
+		choice := Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit, RateLimit: s.rateLimit(server.ID)}
 		if s.isAvoided(server, view.Now) {
 			leastLoadedAvoided = leastLoadedAvoided.lessLoaded(choice)
 			continue
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -211,10 +211,14 @@
 	}
 }
 
-func (s *State) updateReport(id ServerID, report *LoadReport, now time.Time) {
-	if report != nil && s.Roster.Servers[id] != nil {
-		s.serverLoad(id).SetReport(*report, now)
+func (s *State) updateReport(id ServerID, report *ServerReport, now time.Time) {
+	if report == nil || s.Roster.Servers[id] == nil {
+		return
+	}
+	if report.Load != nil {
+		s.serverLoad(id).SetReport(*report.Load, now)
 	}
+	s.observeRateLimit(id, report.RateLimit, report.ReceivedAt)
 }
 
 // handleAttemptEnded finishes the request, retries it or gives up.
@@ -254,7 +258,9 @@
 		return
 	}
 	s.serverLoad(r.Server).RequestEnded()
-	s.updateReport(r.Server, ev.Report, now)
+	if ev.Outcome != OutcomeWrongServer {
+		s.updateReport(r.Server, ev.Report, now)
+	}
 	h := s.serverHealth(r.Server)
 	if ev.Status != 0 {
 		s.domainHealth(server.Domain).RecordResponse()
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -52,6 +52,7 @@
 	Loads             map[ServerID]*ServerLoad
 	Health            map[ServerID]*ServerHealth
 	ColdBudgets       map[ServerID]*ColdBudget
+	ServerRates       map[ServerID]*ServerRate // Of servers that have named a limit.
 	DomainHealth      map[string]*DomainHealth // By failure domain.
 	RetryBudgets      map[string]*RetryBudget  // By service.
 	Crashes           CrashTracker
@@ -79,6 +80,7 @@
 		Loads:        map[ServerID]*ServerLoad{},
 		Health:       map[ServerID]*ServerHealth{},
 		ColdBudgets:  map[ServerID]*ColdBudget{},
+		ServerRates:  map[ServerID]*ServerRate{},
 		DomainHealth: map[string]*DomainHealth{},
 		RetryBudgets: map[string]*RetryBudget{},
 		Crashes:      NewCrashTracker(Mix(HashString(settings.RouterName), uint64(settings.Start))),
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -1,6 +1,7 @@
 package dtnode
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -86,6 +87,7 @@
 	add("rank", e.Placement.Rank, e.Placement.Server != nil)
 	add("load", e.Placement.Load, e.Placement.Server != nil)
 	add("limit", int(e.Placement.Limit), e.Placement.Server != nil)
+	add("rate_limit", cmp.Or(e.RateLimit.PerSecond, e.Placement.RateLimit.PerSecond), e.RateLimit.IsSet || e.Placement.RateLimit.IsSet || e.Event == "server_limit")
 	add("progress", e.Progress.String(), e.Progress != dtdispatch.ProgressNone || e.Event == "crash_suspect")
 	add("parts", partIDs(e.PromptParts), len(e.PromptParts) > 0)
 	add("crashes", e.Crashes, e.Crashes != 0)
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -134,7 +134,8 @@
 		info := a.exchange.relay.dialect.ParseResponse(resp.Header)
 		if info.ID == a.exchange.info.ID || info.ID == "" && info.NotRun {
 			a.resp, a.info = resp, info
-			a.result.Status, a.result.Report, a.result.Progress = resp.StatusCode, info.Report, dtdispatch.ProgressHeader
+			a.result.Status, a.result.Progress = resp.StatusCode, dtdispatch.ProgressHeader
+			a.result.Report = &dtdispatch.ServerReport{ReceivedAt: time.Now(), Load: info.Load, RateLimit: info.RateLimit}
 			return true
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil || info.ID == "" {
--- a/dottereltack/dtrelay/dialect.go
+++ b/dottereltack/dtrelay/dialect.go
@@ -20,9 +20,10 @@
 // routing.
 type ResponseInfo struct {
 	ID          string
-	Signed      bool // The response has a signature of the server.
-	NotRun      bool // The server reports that it did not run the request.
-	Report      *dtdispatch.LoadReport
+	Signed      bool                   // The response has a signature of the server.
+	NotRun      bool                   // The server reports that it did not run the request.
+	Load        *dtdispatch.LoadReport // Nil if the server reports none.
+	RateLimit   dtdispatch.RateLimit
 	IdleTimeout time.Duration // How long the server keeps an idle connection; zero if unspecified.
 }
 
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -83,7 +83,7 @@
 		return
 	}
 	a.result.Progress = dtdispatch.ProgressEvents
-	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.info.Report})
+	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.result.Report})
 	a.result.Report = nil
 }
 
