routers keep to the request rates that servers name

Cause: the rate was not read. Placement bounds the requests in flight and those to cold servers; nothing bounded requests a second. Class of fault: a limit of the whole fleet that each router keeps to by what it sees alone, or not at all. Change: each router has a share of the rate as a token bucket. The buckets of all routers hold no more in sum than a server tolerates beyond its rate, whatever the traffic was before: where there are more routers than that, the rate is divided among as many of them as there are tokens, others for each server. Limits and their ends are told to peers with their age. If all servers are at their rates, the request is refused at once, with the time to the next token as Retry-After. Why it works: 4 s of the rate and all tokens together stay two requests below what a server tolerates.

--- a/core/dtdispatch/collect.go
+++ b/core/dtdispatch/collect.go
@@ -37,6 +37,7 @@
 	Domain   string            `msgpack:"d"`
 	InFlight map[ServerRef]int `msgpack:"l"`
 	Crashes  *CrashNews        `msgpack:"cr,omitempty"`
+	Rates    []RateReport      `msgpack:"rl,omitempty"` // Request rates that servers have named.
 }
 
 // FleetLoadSummary reports the requests in flight of the fleet to the routers of a domain.
@@ -45,6 +46,7 @@
 	MeanInFlight map[string]float64 `msgpack:"m"` // Mean requests in flight per server, by service.
 	BusyServers  map[ServerRef]int  `msgpack:"l"` // Expected requests in flight, by server: servers near their limit and all servers of small services.
 	Crashes      *CrashNews         `msgpack:"cr,omitempty"`
+	Rates        []RateReport       `msgpack:"rl,omitempty"` // Request rates that servers have named.
 }
 
 func (*RouterLoads) isPeerMessage()      {}
@@ -63,7 +65,8 @@
 	ByDomain     map[string]LoadSnapshot // At a collector: by other domain.
 	LastTotals   map[ServerRef]int       // At a collector: totals of the last collection.
 	NextAt       time.Time               // Time of the next collection.
-	CrashCursor  CrashCursor             // At a collector: crash reports passed on.
+	CrashCursor  NewsCursor              // At a collector: crash reports passed on.
+	RateCursor   NewsCursor              // At a collector: server rates passed on.
 }
 
 // LoadSnapshot is the load that one router or domain reported.
@@ -115,9 +118,10 @@
 	s.recordRouterLoads(s.Settings.RouterName, ownLoads, now)
 	domainLoads := sumLoads(fleet.ByRouter, maxSnapshotAge, now)
 	crashes := s.crashNews(&fleet.CrashCursor, false, now)
+	rates := s.rateReports(&fleet.RateCursor, false, now)
 	for _, other := range s.otherDomains() {
 		if to := s.collector(other, collectorTimeout, now); to != "" {
-			s.emit(SendToPeers{To: to, Message: &DomainLoads{Domain: s.Settings.Domain, InFlight: domainLoads, Crashes: crashes}})
+			s.emit(SendToPeers{To: to, Message: &DomainLoads{Domain: s.Settings.Domain, InFlight: domainLoads, Crashes: crashes, Rates: rates}})
 		}
 	}
 	total := sumLoads(fleet.ByDomain, maxSnapshotAge, now)
@@ -127,7 +131,7 @@
 	expected := extrapolateGrowth(total, fleet.LastTotals)
 	fleet.LastTotals = total
 	summary := s.summarizeLoads(total, expected)
-	summary.Crashes = crashes
+	summary.Crashes, summary.Rates = crashes, rates
 	fleet.MeanInFlight, fleet.BusyServers, fleet.UpdatedAt = summary.MeanInFlight, summary.BusyServers, now
 	s.sendToDomain(summary, now)
 }
@@ -175,6 +179,7 @@
 		s.Peers.ByName[summary.From] = peer
 	}
 	s.mergeCrashes(summary.Crashes, now)
+	s.mergeRates(summary.Rates, now)
 }
 
 // inFlight returns this router's requests in flight by server.
@@ -228,6 +233,7 @@
 	}
 	s.FleetLoad.ByDomain[loads.Domain] = LoadSnapshot{InFlight: loads.InFlight, ReceivedAt: now}
 	s.mergeCrashes(loads.Crashes, now)
+	s.mergeRates(loads.Rates, now)
 }
 
 // sumLoads removes the snapshots older than maxAge and returns the sum of the others.
--- a/core/dtdispatch/crashnews.go
+++ b/core/dtdispatch/crashnews.go
@@ -19,12 +19,6 @@
 // IsEmpty reports whether there is nothing to tell.
 func (n *CrashNews) IsEmpty() bool { return len(n.Reports) == 0 && len(n.SoundParts) == 0 }
 
-// CrashCursor is the position in the crash reports up to which they have been sent to some peers.
-type CrashCursor struct {
-	Seq        uint64
-	RepeatedAt time.Time
-}
-
 // Merge adds the news of another router.
 func (t *CrashTracker) Merge(news *CrashNews, now time.Time) {
 	for _, report := range news.Reports {
@@ -39,7 +33,7 @@
 // since the last call and, at intervals, recent reports and those that support a block, which a
 // peer may have missed. If ownOnly is set, what other routers have seen is left out unless it
 // supports a block.
-func (t *CrashTracker) News(cursor *CrashCursor, ownOnly bool, now time.Time) CrashNews {
+func (t *CrashTracker) News(cursor *NewsCursor, ownOnly bool, now time.Time) CrashNews {
 	if len(t.Reports) == 0 {
 		return CrashNews{}
 	}
@@ -94,7 +88,7 @@
 }
 
 // crashNews returns the news for the peers of a cursor, or nil if there is none.
-func (s *State) crashNews(cursor *CrashCursor, ownOnly bool, now time.Time) *CrashNews {
+func (s *State) crashNews(cursor *NewsCursor, ownOnly bool, now time.Time) *CrashNews {
 	news := s.Crashes.News(cursor, ownOnly, now)
 	if news.IsEmpty() {
 		return nil
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -143,6 +143,7 @@
 	ReasonDeadline                   // The request's deadline has passed.
 	ReasonServerLost                 // The connection to the server was lost and the request may have been executed.
 	ReasonCallerGone                 // The caller closed its connection.
+	ReasonServerLimit                // The servers accept no more requests per second.
 )
 
 // String returns the name of the reason in logs and metrics.
@@ -150,6 +151,7 @@
 	return [...]string{
 		"no_site", "no_route", "unknown_key", "no_server", "busy", "retry_budget",
 		"crashes_servers", "stopping", "expired", "server_lost", "caller_left",
+		"server_limit",
 	}[r]
 }
 
--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -149,6 +149,25 @@
 	s.emit(ListRouters{})
 }
 
+// routerNames returns the names of the routers that share the fleet's budgets, this one included.
+func (s *State) routerNames(now time.Time) []string {
+	names := []string{s.Settings.RouterName}
+	if s.Membership.IsLarge() {
+		for name := range s.Membership.ListedRouters {
+			if name != s.Settings.RouterName {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	for name, peer := range s.Peers.ByName {
+		if now.Sub(peer.LastHeardAt) < peerTimeout {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // RouterCount returns the number of routers that share the fleet's budgets.
 func (s *State) RouterCount(now time.Time) int {
 	if s.Membership.IsLarge() {
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -35,6 +35,7 @@
 	InFlight             map[ServerRef]int    `msgpack:"l,omitempty"` // Nonzero numbers of requests in flight; omitted in a large fleet.
 	PartServers          map[uint64]ServerRef `msgpack:"k,omitempty"` // Server that last read a prompt part, by part; omitted in a large fleet.
 	Crashes              *CrashNews           `msgpack:"cr,omitempty"`
+	Rates                []RateReport         `msgpack:"rl,omitempty"` // Request rates that servers have named.
 	ConfigVersion        int64                `msgpack:"v"`
 	RosterRevision       uint64               `msgpack:"r"`
 	RosterHash           uint64               `msgpack:"h"`
@@ -83,13 +84,20 @@
 	ByName            map[string]Peer
 	NextStatusAt      time.Time
 	StatusSentAt      time.Time
-	ConfigRequestedAt time.Time // Time of the last SyncRequest for the configuration.
-	RosterRequestedAt time.Time // Time of the last SyncRequest for the server list.
-	RosterSentAt      time.Time // Time of the last RosterReply to any peer.
-	CrashCursor       CrashCursor
+	ConfigRequestedAt time.Time  // Time of the last SyncRequest for the configuration.
+	RosterRequestedAt time.Time  // Time of the last SyncRequest for the server list.
+	RosterSentAt      time.Time  // Time of the last RosterReply to any peer.
+	CrashCursor       NewsCursor // Crash reports sent.
+	RateCursor        NewsCursor // Server rates sent.
 	lastStatus        PeerStatus
 }
 
+// NewsCursor is the position up to which news of some kind have been sent to some peers.
+type NewsCursor struct {
+	Seq        uint64
+	RepeatedAt time.Time
+}
+
 // Peer is the state of one other router.
 type Peer struct {
 	Domain      string
@@ -155,6 +163,7 @@
 		s.Prompts.Merge(status.PartServers, now)
 	}
 	s.mergeCrashes(status.Crashes, now)
+	s.mergeRates(status.Rates, now)
 	s.setOutOfServiceDomains(status.OutOfServiceDomains, status.OutOfServiceRevision)
 	s.syncWithPeer(status, now)
 }
@@ -240,7 +249,9 @@
 	p.NextStatusAt = now.Add(p.StatusInterval())
 	status := s.peerStatus(now)
 	status.Crashes = s.crashNews(&p.CrashCursor, true, now)
-	if now.Sub(p.StatusSentAt) < statusRepeatInterval && status.Crashes == nil && len(s.Prompts.Unsent) == 0 && sameStatus(&status, &p.lastStatus) {
+	status.Rates = s.rateReports(&p.RateCursor, true, now)
+	hasNews := status.Crashes != nil || len(status.Rates) > 0
+	if now.Sub(p.StatusSentAt) < statusRepeatInterval && !hasNews && len(s.Prompts.Unsent) == 0 && sameStatus(&status, &p.lastStatus) {
 		return
 	}
 	p.StatusSentAt = now
--- a/core/dtdispatch/place.go
+++ b/core/dtdispatch/place.go
@@ -129,7 +129,7 @@
 func (s *State) choose(r *Request, ranked []*Server, view *LoadView, limit float64) (Placement, bool) {
 	var leastLoaded, leastLoadedAvoided Placement
 	for rank, server := range ranked {
-		if slices.Contains(r.TriedServers, server.ID) || !s.Roster.AcceptsRequests(server) || !s.coldBudgetAllows(server, view.Now) {
+		if slices.Contains(r.TriedServers, server.ID) || !s.Roster.AcceptsRequests(server) || !s.coldBudgetAllows(server, view.Now) || !s.rateLimitAllows(server, view.Now) {
 			continue
 		}
 		choice := Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit, RateLimit: s.rateLimit(server.ID)}
--- a/core/dtdispatch/ratelimit.go
+++ b/core/dtdispatch/ratelimit.go
@@ -1,22 +1,93 @@
 package dtdispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Parameters of the request rates that servers name. A server counts as overloaded if it gets more
+// than rateTolerance times its rate, plus rateSlack requests, within rateWindow. The routers'
+// tokens add up to no more than that leaves beyond the rate itself, so that a server is not
+// overloaded even if all of them are used at once.
+const (
+	rateWindow    = 4 * time.Second
+	rateTolerance = 1.5
+	rateSlack     = 3 // Two less than a server tolerates, as routers may know different numbers of routers.
+	// Requests per second that a server gets even if it names a lower rate, so that its responses
+	// show when the limit ends.
+	minServerRate       = 0.25
+	rateShareInterval   = time.Second     // Interval at which a router's share is calculated.
+	rateRepeatInterval  = time.Second     // Interval at which rates are repeated to peers, as messages may be lost.
+	endedRateRetention  = 5 * time.Second // Time for which the end of a limit is repeated.
+	maxRatesPerMessage  = 256
+	minRateLimitBackoff = 100 * time.Millisecond // Shortest Retry-After while all servers are at their limits.
+)
 
 // RateLimit is the number of requests per second that a server accepts from all routers together.
 type RateLimit struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // Encoded without field names to save space.
 	PerSecond float64
 	IsSet     bool // The server has named a limit.
 }
 
-// ServerRate is the request rate that a server has named.
+// ServerRate is the request rate that a server has named, and this router's share of it as a token
+// bucket.
 type ServerRate struct {
 	Limit      RateLimit
 	ObservedAt time.Time // Time of the response that named it.
+	IsOwn      bool      // The response was to this router.
+	Seq        uint64    // Order in which limits became known.
+	Share      RateShare
+	ShareSetAt time.Time
+	Tokens     float64 // Requests that this router may send.
+	RefilledAt time.Time
+}
+
+// RateShare is the part of a server's request rate that one router may use.
+type RateShare struct {
+	PerSecond float64 // Zero if the rate is divided among other routers.
+	MaxTokens float64
+}
+
+// shareRate divides a rate among count routers, of which those with the given names are known, and
+// returns the share of one of them. If there are more routers than tokens, the rate goes to as many of them as there are
+// tokens, which differ from server to server.
+func shareRate(limit RateLimit, server *Server, self string, routers []string, count int) RateShare {
+	rate := max(limit.PerSecond, minServerRate)
+	tokens := (rateTolerance-1)*rate*rateWindow.Seconds() + rateSlack
+	members := min(count, int(tokens))
+	rank := 0
+	score := func(name string) uint64 { return Mix(server.IDHash, HashString(name)) }
+	for _, name := range routers {
+		if cmp.Or(cmp.Compare(score(name), score(self)), cmp.Compare(name, self)) > 0 {
+			rank++
+		}
+	}
+	if rank >= members {
+		return RateShare{}
+	}
+	return RateShare{PerSecond: rate / float64(members), MaxTokens: tokens / float64(members)}
+}
+
+// refill adds the tokens that have accrued since the last call.
+func (r *ServerRate) refill(now time.Time) {
+	r.Tokens = min(r.Tokens+r.Share.PerSecond*now.Sub(r.RefilledAt).Seconds(), r.Share.MaxTokens)
+	r.RefilledAt = now
+}
+
+// nextTokenAt returns when the next request may be sent, or false if this router has no share.
+func (r *ServerRate) nextTokenAt(now time.Time) (time.Time, bool) {
+	if r.Share.PerSecond == 0 {
+		return time.Time{}, false
+	}
+	missing := max(1-r.Tokens, 0)
+	return now.Add(time.Duration(missing / r.Share.PerSecond * float64(time.Second))), true
 }
 
 // observeRateLimit records the limit in a response header that arrived at observedAt. A response
 // without one ends the limit.
-func (s *State) observeRateLimit(id ServerID, limit RateLimit, observedAt time.Time) {
+func (s *State) observeRateLimit(id ServerID, limit RateLimit, isOwn bool, observedAt time.Time) {
 	rate := s.ServerRates[id]
 	if rate == nil && !limit.IsSet || rate != nil && observedAt.Before(rate.ObservedAt) {
 		return
@@ -25,11 +96,62 @@
 		rate = &ServerRate{}
 		s.ServerRates[id] = rate
 	}
-	changed := rate.Limit != limit
-	rate.Limit, rate.ObservedAt = limit, observedAt
-	if changed {
-		s.emit(LogRecord{Event: "server_limit", Subject: string(id), RateLimit: limit})
+	isNew := rate.Limit != limit
+	rate.Limit, rate.ObservedAt, rate.IsOwn = limit, observedAt, isOwn
+	if !isNew {
+		return
 	}
+	s.lastRateSeq++
+	rate.Seq = s.lastRateSeq
+	rate.ShareSetAt = time.Time{}
+	s.emit(LogRecord{Event: "server_limit", Subject: string(id), RateLimit: limit})
+}
+
+// limitedRate returns the rate of a server that has named a limit, with its tokens as of now, or nil.
+func (s *State) limitedRate(server *Server, now time.Time) *ServerRate {
+	rate := s.ServerRates[server.ID]
+	if rate == nil || !rate.Limit.IsSet {
+		return nil
+	}
+	rate.refill(now)
+	if now.Sub(rate.ShareSetAt) >= rateShareInterval {
+		rate.Share = shareRate(rate.Limit, server, s.Settings.RouterName, s.routerNames(now), s.RouterCount(now))
+		rate.ShareSetAt = now
+	}
+	return rate
+}
+
+// rateLimitAllows reports whether one more request to a server is within this router's share of
+// the rate that the server has named.
+func (s *State) rateLimitAllows(server *Server, now time.Time) bool {
+	rate := s.limitedRate(server, now)
+	return rate == nil || rate.Tokens >= 1
+}
+
+func (s *State) countRateLimitedRequest(server *Server, now time.Time) {
+	if rate := s.limitedRate(server, now); rate != nil {
+		rate.Tokens--
+	}
+}
+
+// rateLimitBackoff returns how long a caller is to wait if no server of a service accepts a
+// request because of the rates that they have named, or zero if that is not the reason.
+func (s *State) rateLimitBackoff(r *Request, now time.Time) time.Duration {
+	backoff := time.Duration(0)
+	for _, server := range s.eligibleServers(r, s.Roster.ByService[r.Service]) {
+		rate := s.limitedRate(server, now)
+		if rate == nil || !s.Roster.AcceptsRequests(server) || slices.Contains(r.TriedServers, server.ID) {
+			continue
+		}
+		wait := retryAfterBusy // Another router has a share.
+		if at, ok := rate.nextTokenAt(now); ok {
+			wait = max(at.Sub(now), minRateLimitBackoff)
+		}
+		if backoff == 0 || wait < backoff {
+			backoff = wait
+		}
+	}
+	return backoff
 }
 
 // rateLimit returns the limit that a server has named last.
@@ -39,3 +161,47 @@
 	}
 	return RateLimit{}
 }
+
+// RateReport tells a peer which limit a server has named in a response.
+type RateReport struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Encoded without field names to save space.
+	Server   ServerRef
+	Limit    RateLimit
+	AgeMs    int64 // Time since the response.
+}
+
+// rateReports returns what is to be sent to the peers of a cursor and advances it: the limits that
+// have changed since the last call and, at intervals, all. If ownOnly is set, limits that other
+// routers have observed are left out.
+func (s *State) rateReports(cursor *NewsCursor, ownOnly bool, now time.Time) []RateReport {
+	if len(s.ServerRates) == 0 {
+		return nil
+	}
+	repeat := now.Sub(cursor.RepeatedAt) >= rateRepeatInterval
+	if repeat {
+		cursor.RepeatedAt = now
+	}
+	var reports []RateReport
+	for _, id := range sortedKeys(s.ServerRates) {
+		rate, server := s.ServerRates[id], s.Roster.Servers[id]
+		if server == nil || ownOnly && !rate.IsOwn || len(reports) >= maxRatesPerMessage {
+			continue
+		}
+		isCurrent := rate.Limit.IsSet || now.Sub(rate.ObservedAt) < endedRateRetention
+		if rate.Seq > cursor.Seq || repeat && isCurrent {
+			reports = append(reports, RateReport{Server: server.Ref(), Limit: rate.Limit, AgeMs: now.Sub(rate.ObservedAt).Milliseconds()})
+		}
+	}
+	cursor.Seq = s.lastRateSeq
+	return reports
+}
+
+// mergeRates applies the limits that a peer knows.
+func (s *State) mergeRates(reports []RateReport, now time.Time) {
+	for _, report := range reports {
+		if server := s.Roster.ByRef[report.Server]; server != nil {
+			observedAt := now.Add(-time.Duration(report.AgeMs) * time.Millisecond)
+			s.observeRateLimit(server.ID, report.Limit, false, observedAt)
+		}
+	}
+}
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -142,6 +142,9 @@
 	r.Placement = s.place(r, now)
 	server := r.Placement.Server
 	if server == nil {
+		if s.rateLimitBackoff(r, now) > 0 {
+			reason = ReasonServerLimit
+		}
 		s.giveUp(r, reason, now)
 		return
 	}
@@ -150,6 +153,7 @@
 	r.Server = server.ID
 	s.serverLoad(server.ID).RequestSent()
 	s.countColdRequest(server, now)
+	s.countRateLimitedRequest(server, now)
 	s.emit(SendRequest{
 		Number: r.Number, Attempt: r.Attempt, Server: server.ID, Address: server.Address,
 		Account: r.Account, CacheSource: r.Placement.CacheSource, StripAPIKey: s.Config.AccountsByKey != nil, Priority: r.Priority, Streaming: r.Route.Streaming,
@@ -218,7 +222,7 @@
 	if report.Load != nil {
 		s.serverLoad(id).SetReport(*report.Load, now)
 	}
-	s.observeRateLimit(id, report.RateLimit, report.ReceivedAt)
+	s.observeRateLimit(id, report.RateLimit, true, report.ReceivedAt)
 }
 
 // handleAttemptEnded finishes the request, retries it or gives up.
@@ -366,6 +370,8 @@
 		s.refuse(r, Refuse{Status: statusBadGateway, Reason: ReasonServerLost}, now)
 	case reason == ReasonPoison:
 		s.refuse(r, s.refuseBlocked(r, s.Crashes.Block(r.Digest, r.PromptParts), now), now)
+	case reason == ReasonServerLimit:
+		s.refuse(r, unavailable(reason, s.rateLimitBackoff(r, now)), now)
 	default:
 		s.refuse(r, unavailable(reason, retryAfterBusy), now)
 	}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -66,8 +66,9 @@
 	IsReady           bool
 	IsStoreDown       bool // The last call to the store failed.
 
-	timerAt time.Time // Time of the pending timer.
-	effects []Effect  // Effects of the current step.
+	lastRateSeq uint64    // Of ServerRates.
+	timerAt     time.Time // Time of the pending timer.
+	effects     []Effect  // Effects of the current step.
 }
 
 // New returns the initial state of a router that starts at now.
--- a/dottereltack/dtexplain/explanation.go
+++ b/dottereltack/dtexplain/explanation.go
@@ -57,6 +57,7 @@
 	{"refused busy", "the servers that were tried reported that they did not run the request"},
 	{"refused retry_budget", "a retry would have exceeded the fleet's retry budget"},
 	{"refused crashes_servers", "the request had crashed the servers that ran it"},
+	{"refused server_limit", "all servers of the service were at the request rates that they had named; the request was not run"},
 	{"refused stopping", "the router was shutting down; the request was not run"},
 	{"refused expired", "the request timed out before the server responded"},
 	{"refused server_lost", "the connection to the server was lost; the request was not retried, as it may have run"},
--- a/dottereltack/dtmesh/mesh_test.go
+++ b/dottereltack/dtmesh/mesh_test.go
@@ -53,15 +53,16 @@
 		Reports:    []dtdispatch.CrashReport{{ID: 1 << 63, Digest: 1 << 62, Server: 7, Parts: []uint64{1 << 61}}},
 		SoundParts: []uint64{1 << 60},
 	}
+	rates := []dtdispatch.RateReport{{Server: 7, Limit: dtdispatch.RateLimit{PerSecond: 2.5, IsSet: true}, AgeMs: 8}}
 	messages := []dtdispatch.PeerMessage{
-		&dtdispatch.PeerStatus{From: "a", Address: "1:3", Domain: "d", Start: 5, InFlight: loads, Crashes: crashes, ConfigVersion: 7, RosterRevision: 8, RosterHash: 1 << 63, RosterAgeMs: 9, OutOfServiceDomains: []string{"x"}, OutOfServiceRevision: 10},
+		&dtdispatch.PeerStatus{From: "a", Address: "1:3", Domain: "d", Start: 5, InFlight: loads, Crashes: crashes, Rates: rates, ConfigVersion: 7, RosterRevision: 8, RosterHash: 1 << 63, RosterAgeMs: 9, OutOfServiceDomains: []string{"x"}, OutOfServiceRevision: 10},
 		&dtdispatch.SyncRequest{From: "a", WantsConfig: true, WantsRoster: true},
 		&dtdispatch.ConfigReply{Source: []byte("text")},
 		&dtdispatch.RosterReply{Servers: []dtdispatch.Server{{ID: "s1", Service: "a", Address: "1:2", ColdFor: time.Second, Draining: true, Seq: 4, Start: 5}}, Revision: 3, AgeMs: 4},
 		&dtdispatch.RosterDelta{BaseHash: 1 << 63, Revision: 2, Removed: []dtdispatch.ServerID{"s2"}},
 		&dtdispatch.RouterLoads{From: "a", InFlight: loads},
-		&dtdispatch.DomainLoads{Domain: "d", InFlight: loads, Crashes: crashes},
-		&dtdispatch.FleetLoadSummary{From: "a", MeanInFlight: map[string]float64{"s": 1.5}, BusyServers: loads, Crashes: crashes},
+		&dtdispatch.DomainLoads{Domain: "d", InFlight: loads, Crashes: crashes, Rates: rates},
+		&dtdispatch.FleetLoadSummary{From: "a", MeanInFlight: map[string]float64{"s": 1.5}, BusyServers: loads, Crashes: crashes, Rates: rates},
 	}
 	for _, m := range messages {
 		g.Expect(a.Send("b", m)).To(Succeed())
