the load limit follows from servers that have named no request rate

Cause: the load limit is a multiple of the mean over all servers. Those at their rates hold next to nothing, so that the mean, and with it the limit of the others, is too low for what they have to take; requests walk on to the least loaded. Change: the mean is taken over the servers without a named rate, if there are any, at routers and collectors. Test: TestPromptsScatterWhileOthersAreLimited fails on the code before (more than one server used).

--- a/core/dtdispatch/collect.go
+++ b/core/dtdispatch/collect.go
@@ -156,10 +156,11 @@
 	summary := &FleetLoadSummary{From: s.Settings.RouterName, MeanInFlight: map[string]float64{}, BusyServers: map[ServerRef]int{}}
 	for service, servers := range s.Roster.ByService {
 		n := 0
-		for _, server := range servers {
+		averaged := s.withoutRateLimit(servers)
+		for _, server := range averaged {
 			n += total[server.Ref()]
 		}
-		summary.MeanInFlight[service] = float64(n) / float64(len(servers))
+		summary.MeanInFlight[service] = float64(n) / float64(len(averaged))
 		limit := s.loadLimit(summary.MeanInFlight[service], s.collectInterval())
 		for _, server := range servers {
 			inFlight := expected[server.Ref()]
--- a/core/dtdispatch/load.go
+++ b/core/dtdispatch/load.go
@@ -87,6 +87,25 @@
 	return float64(sum) / float64(max(len(servers), 1))
 }
 
+// withoutRateLimit returns the servers that have named no request rate, or all servers if there are
+// none. Others can't take their part of the load, so that the mean would be too low a measure for
+// the servers that do.
+func (s *State) withoutRateLimit(servers []*Server) []*Server {
+	if len(s.ServerRates) == 0 {
+		return servers
+	}
+	var list []*Server
+	for _, server := range servers {
+		if !s.rateLimit(server.ID).IsSet {
+			list = append(list, server)
+		}
+	}
+	if len(list) == 0 {
+		return servers
+	}
+	return list
+}
+
 // loadLimit returns the maximum number of requests in flight on one server, given the mean of
 // its service and the delay with which the mean is known.
 func (s *State) loadLimit(mean float64, lag time.Duration) float64 {
--- a/core/dtdispatch/place.go
+++ b/core/dtdispatch/place.go
@@ -112,7 +112,7 @@
 func (s *State) place(r *Request, now time.Time) Placement {
 	servers := s.eligibleServers(r, s.Roster.ByService[r.Service])
 	view := s.loadView(now)
-	limit := s.loadLimit(view.MeanInFlight(r.Service, servers), view.Lag)
+	limit := s.loadLimit(view.MeanInFlight(r.Service, s.withoutRateLimit(servers)), view.Lag)
 	ranker := s.rankerFor(r)
 	for n := initialCandidates; ; n = len(servers) {
 		ranked := ranker.Rank(servers, view, n)
--- a/core/dtdispatch/ratelimit_test.go
+++ b/core/dtdispatch/ratelimit_test.go
@@ -140,3 +140,21 @@
 	r.listServers(2, restarted...)
 	r.Expect(r.state.ServerRates).To(BeEmpty(), "another incarnation of the server")
 }
+
+// TestPromptsScatterWhileOthersAreLimited guards against a load limit that follows from servers that
+// may take next to nothing: requests with one prompt then go from server to server, each of which
+// has to read it.
+func TestPromptsScatterWhileOthersAreLimited(t *testing.T) {
+	r := newRouter(t, 6)
+	var reports []dtdispatch.RateReport
+	for _, id := range []dtdispatch.ServerID{"s0", "s1", "s2", "s3"} {
+		reports = append(reports, dtdispatch.RateReport{Server: r.state.Roster.Servers[id].Ref(), Limit: dtdispatch.RateLimit{PerSecond: 0.3, IsSet: true}})
+	}
+	r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{From: "r9", Start: 1, Rates: reports}})
+	used := map[dtdispatch.ServerID]int{}
+	for range 8 {
+		r.sendRequest("/stream/x", withParts(1, 7))
+		used[r.onlySend().Server]++
+	}
+	r.Expect(used).To(HaveLen(1))
+}
