a server that sends bytes without end is cut off

Callers would see: a router that reads an endless line as the head of a response, an endless event, or an endless body of a response that it drops, until the deadline, and holds all of it in memory; a few such servers end the router. Cause: only whole bodies had a limit, each by itself. Class of fault: input whose size its sender decides. Change: a response's head has 256 KiB and an event 1 MiB; the bodies that are held have 32 MiB together, beyond 64 KiB of each that are always held, so that large ones do not displace small ones; a response that is dropped and does not end within 1 MiB ends its connection (it counted as read to its end before).

--- a/dottereltack/dtnode/node_test.go
+++ b/dottereltack/dtnode/node_test.go
@@ -360,3 +360,50 @@
 	_, err = idle.r.ReadByte()
 	n.Expect(err).To(Equal(io.EOF), "the connection of an idle caller is closed, not reset")
 }
+
+// TestEndlessResponse guards against a server in trouble that sends bytes without end: the router
+// must neither buffer them until it runs out of memory nor wait for the deadline.
+func TestEndlessResponse(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\n"
+	cases := map[string]struct{ path, head, repeated string }{
+		"a status line":                  {"/read/x", "", "garbage"},
+		"a header field":                 {"/read/x", signed + "X-A: ", "garbage"},
+		"header fields":                  {"/read/x", signed, "X-A: 1\r\n"},
+		"interim responses":              {"/read/x", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"a body without a length":        {"/read/x", signed + "\r\n", "garbage"},
+		"a chunked body":                 {"/read/x", signed + "Transfer-Encoding: chunked\r\n\r\n", chunk(strings.Repeat("a", 4096))},
+		"an event":                       {"/live/x", signed + "\r\n", "garbage"},
+		"an event in chunks":             {"/live/x", signed + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"the body of a refusal":          {"/read/x", "HTTP/1.1 503 No\r\nX-Id: %s\r\nX-Not-Run: 1\r\n\r\n", "garbage"},
+		"the body of another request":    {"/read/x", "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signed: 1\r\n\r\n%.0s", "garbage"},
+		"a chunk size":                   {"/read/x", signed + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"trailer fields":                 {"/read/x", signed + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: 1\r\n"},
+		"a body that announces its size": {"/read/x", signed + "Content-Length: 99999999999\r\n\r\n", "garbage"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 16)
+			n := newNode(t, newServer(t, func(id string, _ *http.Request, c net.Conn) {
+				block := []byte(strings.Repeat(tc.repeated, 64<<10/len(tc.repeated)))
+				if tc.head != "" {
+					_, _ = fmt.Fprintf(c, tc.head, id)
+				}
+				for total := 0; ; total += len(block) {
+					if _, err := c.Write(block); err != nil {
+						written <- total
+						return
+					}
+				}
+			}))
+			start := time.Now()
+			c := n.dial()
+			c.send(tc.path, "q", "")
+			if resp, err := c.readResponse(); err == nil {
+				n.Expect(resp.status).To(BeNumerically(">=", 500))
+			}
+			n.Expect(time.Since(start)).To(BeNumerically("<", 1900*time.Millisecond), "before the route's timeout")
+			const socketBuffers = 16 << 20
+			n.Expect(<-written).To(BeNumerically("<", 16<<20+socketBuffers))
+		})
+	}
+}
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,20 +14,27 @@
 
 // Limits of requests and responses.
 const (
-	maxResponseBytes   = 16 << 20
-	maxResponsesRead   = 4       // Includes interim responses and responses to earlier requests, which are skipped.
-	maxDiscardBytes    = 1 << 20 // Read at most this much of a response that is not forwarded.
-	maxInlineBodyBytes = 8 << 10 // Larger bodies are written while the response is read.
-	discardTimeout     = 500 * time.Millisecond
+	maxResponseHeadBytes = 256 << 10
+	maxResponseBytes     = 16 << 20
+	maxHeldBodyBytes     = 32 << 20 // Of all responses together.
+	freeBodyBytes        = 64 << 10 // Of each response, not counted in maxHeldBodyBytes, so that large bodies do not displace small ones.
+	maxEventBytes        = 1 << 20
+	maxResponsesRead     = 4       // Includes interim responses and responses to earlier requests, which are skipped.
+	maxDiscardBytes      = 1 << 20 // Read at most this much of a response that is not forwarded.
+	maxInlineBodyBytes   = 8 << 10 // Larger bodies are written while the response is read.
+	discardTimeout       = 500 * time.Millisecond
 )
 
 // Errors of a response.
 var (
-	errUnknownResponse    = errors.New("response does not match the request")
-	errMissingSignature   = errors.New("successful response without a signature")
-	errContentCoding      = errors.New("response has a content coding")
-	errResponseTooLarge   = errors.New("response body too large")
-	errUnconfirmedRefusal = errors.New("refusal status for a request that may have run")
+	errUnknownResponse      = errors.New("response does not match the request")
+	errMissingSignature     = errors.New("successful response without a signature")
+	errContentCoding        = errors.New("response has a content coding")
+	errResponseHeadTooLarge = errors.New("response head too large")
+	errResponseTooLarge     = errors.New("response body too large")
+	errBodiesTooLarge       = errors.New("response bodies too large together")
+	errEventTooLarge        = errors.New("event too large")
+	errUnconfirmedRefusal   = errors.New("refusal status for a request that may have run")
 )
 
 // attempt is one attempt to have a backend server serve a request.
@@ -122,6 +128,8 @@
 func (a *attempt) readResponseHead() bool {
 	_ = a.conn.SetReadDeadline(a.send.HeaderDeadline)
 	request := &http.Request{Method: a.exchange.head.Method}
+	a.conn.limiter.start()
+	defer a.conn.limiter.stop()
 	for range maxResponsesRead {
 		resp, err := http.ReadResponse(a.conn.reader, request) //nolint:bodyclose // The body is read or the connection closed by releaseConn.
 		if err != nil {
@@ -138,9 +146,11 @@
 			a.result.Report = &dtdispatch.ServerReport{ReceivedAt: time.Now(), Load: info.Load, RateLimit: info.RateLimit}
 			return true
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil || info.ID == "" {
+		a.conn.limiter.stop()
+		if !discard(resp.Body) || info.ID == "" {
 			break
 		}
+		a.conn.limiter.start()
 	}
 	a.setOutcome(dtdispatch.OutcomeMalformed, errUnknownResponse)
 	return false
@@ -193,22 +203,18 @@
 // connection can be reused.
 func (a *attempt) discardBody() bool {
 	_ = a.conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxDiscardBytes))
-	return err == nil
+	return discard(a.resp.Body)
 }
 
 // forwardBuffered reads the complete response and forwards it, or keeps it as the fallback if
 // it is an error response.
 func (a *attempt) forwardBuffered() {
 	_ = a.conn.SetReadDeadline(a.send.Deadline)
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
+	body, reserved, err := a.exchange.relay.bodies.readBody(a.resp.Body)
+	a.exchange.reservedBytes += reserved
+	if err != nil {
 		a.setTransportOutcome(err)
 		return
-	case len(body) > maxResponseBytes:
-		a.setOutcome(dtdispatch.OutcomeMalformed, errResponseTooLarge)
-		return
 	}
 	a.reusable = true
 	resp := &bufferedResponse{status: a.resp.StatusCode, fields: responseFields(a.resp.Header), body: body}
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -27,6 +27,8 @@
 	headSent    bool              // The head of the response has been sent.
 	lastEventID string            // ID of the last event sent.
 
+	reservedBytes int64 // Of Relay.bodies, for the bodies of responses; released at the end.
+
 	mu                 sync.Mutex  // Guards the fields below.
 	conn               *serverConn // Connection of the current attempt, or nil.
 	callerDisconnected bool
@@ -52,6 +54,7 @@
 func (x *exchange) serve() {
 	x.relay.registerExchange(x)
 	defer x.relay.unregisterExchange(x)
+	defer func() { x.relay.bodies.release(x.reservedBytes) }()
 	x.lastEventID = x.info.LastEventID
 	if !x.relay.events.Offer(x.arrivedEvent()) {
 		x.sendRefusal(dtdispatch.Refuse{Status: statusOverloaded, RetryAfter: overloadRetryAfter})
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -28,6 +28,7 @@
 type serverConn struct {
 	net.Conn
 	reader      *bufio.Reader
+	limiter     *headLimiter // Source of reader.
 	reused      bool
 	idleTimeout time.Duration // How long the server keeps the connection open.
 	lastUsed    time.Time
@@ -67,7 +68,8 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return &serverConn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultServerIdleTimeout}, nil
+	limiter := &headLimiter{r: c}
+	return &serverConn{Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), idleTimeout: defaultServerIdleTimeout}, nil
 }
 
 func (p *idlePool) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -27,6 +27,7 @@
 	events             eventQueue
 	pool               *idlePool
 	listener           net.Listener
+	bodies             bodyBudget
 	limits             atomic.Pointer[dtdispatch.Limits]
 	lastRequestNumber  atomic.Uint64
 	keepAlivesDisabled atomic.Bool // Close each caller's connection after its next response.
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -33,6 +33,10 @@
 			a.exchange.closeAfterResponse = true
 			return
 		}
+		if len(events.buffer) > maxEventBytes {
+			a.setOutcome(dtdispatch.OutcomeMalformed, errEventTooLarge)
+			return
+		}
 		if errors.Is(err, io.EOF) {
 			a.finishStream(&events)
 			return
