own interface: a server that sends bytes without end is cut off

Callers would see: a router that holds an endless line of a stream, or an endless status report, until its memory ends. Change: a line has 1 MiB, the response to a probe or command 1 MiB. Heads were limited by their buffer.

--- a/dottereltack/dtserver/client.go
+++ b/dottereltack/dtserver/client.go
@@ -200,7 +200,7 @@
 		return nil, wrapError(err, "send", address)
 	}
 	_ = cn.SetReadDeadline(time.Now().Add(timeout))
-	if err := resp.Read(cn.reader); err != nil {
+	if err := resp.ReadLimitBody(cn.reader, maxReportBytes); err != nil {
 		_ = cn.Close()
 		return nil, wrapError(err, "read", address)
 	}
--- a/dottereltack/dtserver/client_test.go
+++ b/dottereltack/dtserver/client_test.go
@@ -128,3 +128,49 @@
 	}
 	g.Expect(conns.Load()).To(BeEquivalentTo(2))
 }
+
+// TestEndlessResponse guards against a server in trouble that sends bytes without end.
+func TestEndlessResponse(t *testing.T) {
+	const bound = 32 << 20 // Of bytes that a server can write; includes the socket buffers.
+	endless := func(head string) (string, chan int) {
+		written := make(chan int, 1)
+		address, _, _ := startServer(t, func(_ int32, c net.Conn) {
+			_, _ = fmt.Fprint(c, head)
+			block := make([]byte, 64<<10)
+			for total := 0; ; total += len(block) {
+				if _, err := c.Write(block); err != nil {
+					written <- total
+					return
+				}
+			}
+		})
+		return address, written
+	}
+	client := dtserver.New("127.0.0.1:0", dtmeter.New())
+	t.Run("a line of a stream", func(t *testing.T) {
+		g := NewWithT(t)
+		address, written := endless("HTTP/1.1 200 OK\r\n\r\n")
+		resp, _, err := client.Do(&dtserver.Request{Address: address, Path: "/x", SendBefore: time.Now().Add(time.Second)})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = resp.ReadLine()
+		g.Expect(err).To(HaveOccurred())
+		resp.Abort()
+		g.Expect(<-written).To(BeNumerically("<", bound))
+	})
+	t.Run("a status report", func(t *testing.T) {
+		g := NewWithT(t)
+		address, written := endless("HTTP/1.1 200 OK\r\n\r\n")
+		start := time.Now()
+		g.Expect(client.Probe(dtstate.Probe{Address: address}).Result).To(Equal(dtstate.ProbeUnanswered))
+		g.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		g.Expect(<-written).To(BeNumerically("<", bound))
+	})
+	t.Run("a head", func(t *testing.T) {
+		g := NewWithT(t)
+		address, written := endless("")
+		_, outcome, err := client.Do(&dtserver.Request{Address: address, Path: "/x", SendBefore: time.Now().Add(time.Second)})
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(outcome).To(Equal(dtstate.OutcomeCut))
+		g.Expect(<-written).To(BeNumerically("<", bound))
+	})
+}
--- a/dottereltack/dtserver/response.go
+++ b/dottereltack/dtserver/response.go
@@ -5,12 +5,17 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 )
 
-// maxResponseBytes limits the body that ReadBody returns.
-const maxResponseBytes = 16 << 20
+// Limits of responses.
+const (
+	maxResponseBytes = 16 << 20 // Of the body that ReadBody returns.
+	maxLineBytes     = 1 << 20  // Of a line that ReadLine returns.
+	maxReportBytes   = 1 << 20  // Of the body of a response to a probe or command.
+)
 
 // Special values of the content length in fasthttp.
 const (
@@ -18,8 +23,11 @@
 	lengthIdentity = -2 // The body ends when the connection is closed.
 )
 
-// errResponseTooLarge is returned for a response body of more than maxResponseBytes.
-var errResponseTooLarge = errors.New("response body too large")
+// Errors of responses that exceed a limit.
+var (
+	errResponseTooLarge = errors.New("response body too large")
+	errLineTooLong      = errors.New("line too long")
+)
 
 // Response is the response of a backend server whose body is still being read; it is not safe
 // for concurrent use.
@@ -61,11 +69,18 @@
 		_ = r.conn.SetReadDeadline(time.Now().Add(streamIdleTimeout))
 	}
 	line, err := r.lineReader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		rest, restErr := r.lineReader.ReadBytes('\n')
-		return append(append([]byte(nil), line...), rest...), restErr
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	long := slices.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > maxLineBytes {
+			return nil, errLineTooLong
+		}
+		line, err = r.lineReader.ReadSlice('\n')
+		long = append(long, line...)
 	}
-	return line, err
+	return long, err
 }
 
 // Read implements io.Reader for the body.
