--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -30,6 +30,15 @@
 	IsOwn     bool   // This router saw the crash.
 }
 
+// keys returns what the report counts against.
+func (c *KnownCrash) keys() []crashKey {
+	keys := []crashKey{{id: c.Digest}}
+	for _, part := range c.Parts {
+		keys = append(keys, crashKey{id: part, isPart: true})
+	}
+	return keys
+}
+
 // CrashSuspect is a request that was in flight on a server when the server dropped its connection.
 type CrashSuspect struct {
 	RequestID   string
@@ -38,6 +47,12 @@
 	Progress    Progress
 }
 
+// SoundPart states that a server has responded to a request with a prompt part without crashing.
+type SoundPart struct {
+	Seq   uint64 // Reports with a lower Seq do not count against the part.
+	IsOwn bool   // The response was to this router.
+}
+
 // crashKey identifies what crashes are counted for: a request or a prompt part.
 type crashKey struct {
 	id     uint64 // Request digest or part ID.
@@ -56,13 +71,6 @@
 	byKey map[crashKey][]*KnownCrash
 }
 
-// SoundPart states that a server has responded to a request with a prompt part without crashing.
-type SoundPart struct {
-	At    time.Time // Time when it became known; reports known by then do not count against the part.
-	Seq   uint64
-	IsOwn bool
-}
-
 // NewCrashTracker returns an empty tracker; source is unique to the incarnation of a router.
 func NewCrashTracker(source uint64) CrashTracker {
 	return CrashTracker{
@@ -133,31 +141,22 @@
 	}
 }
 
-// keys returns what the report counts against.
-func (c *KnownCrash) keys() []crashKey {
-	keys := []crashKey{{id: c.Digest}}
-	for _, part := range c.Parts {
-		keys = append(keys, crashKey{id: part, isPart: true})
-	}
-	return keys
-}
-
 // MarkSound records that a server has responded to a request with these prompt parts.
-func (t *CrashTracker) MarkSound(parts []PromptPart, now time.Time) {
+func (t *CrashTracker) MarkSound(parts []PromptPart) {
 	if len(t.Reports) == 0 {
 		return
 	}
 	for _, id := range sharedPartIDs(parts) {
-		t.markSound(id, true, now)
+		t.markSound(id, true)
 	}
 }
 
-func (t *CrashTracker) markSound(part uint64, isOwn bool, now time.Time) {
+func (t *CrashTracker) markSound(part uint64, isOwn bool) {
 	if len(t.byKey[crashKey{id: part, isPart: true}]) == 0 {
 		return
 	}
 	t.seq++
-	t.Sound[part] = SoundPart{At: now, Seq: t.seq, IsOwn: isOwn}
+	t.Sound[part] = SoundPart{Seq: t.seq, IsOwn: isOwn}
 }
 
 // sharedPartIDs returns the distinct IDs of the parts that other requests may share, which are all
--- a/core/dtdispatch/crashblock.go
+++ b/core/dtdispatch/crashblock.go
@@ -11,7 +11,7 @@
 	// A prompt part is blocked only if different requests with it have crashed servers; the parts
 	// of one request can't be told apart.
 	minCrashedRequests = 2
-	minBlockPeriod     = time.Minute // Doubled by each crash beyond the threshold.
+	minBlockPeriod     = time.Minute // From the latest crash; doubled by each crash beyond the threshold.
 	maxBlockPeriod     = time.Hour
 	maxBlockDoublings  = 6
 )
@@ -45,8 +45,7 @@
 func (t *CrashTracker) Count(digest uint64) int { return countCrashes(t.byKey[crashKey{id: digest}]) }
 
 func (t *CrashTracker) requestBlock(digest uint64) CrashBlock {
-	crashes := t.byKey[crashKey{id: digest}]
-	return newCrashBlock(0, crashes)
+	return newCrashBlock(0, t.byKey[crashKey{id: digest}])
 }
 
 // partBlock returns the block that a prompt part imposes on a request with the given parts. The
--- a/core/dtdispatch/crashnews.go
+++ b/core/dtdispatch/crashnews.go
@@ -25,7 +25,7 @@
 		t.AddReport(report, now)
 	}
 	for _, part := range news.SoundParts {
-		t.markSound(part, false, now)
+		t.markSound(part, false)
 	}
 }
 
--- a/core/dtdispatch/place.go
+++ b/core/dtdispatch/place.go
@@ -100,11 +100,11 @@
 // Placement is the server chosen for an attempt and the values that the choice is based on.
 type Placement struct {
 	Server      *Server
-	Rank        int     // Position of the server in the ranking, from 0.
-	Load        int     // Estimated requests in flight on the server.
-	Limit       float64 // Load limit of the server.
-	RateLimit   RateLimit
-	CacheSource string // Address of another server that probably has the prompt cached, or "".
+	Rank        int       // Position of the server in the ranking, from 0.
+	Load        int       // Estimated requests in flight on the server.
+	Limit       float64   // Load limit of the server.
+	RateLimit   RateLimit // Named by the server.
+	CacheSource string    // Address of another server that probably has the prompt cached, or "".
 }
 
 // place chooses the server for the next attempt of a request. Server is nil if no server may
@@ -129,7 +129,7 @@
 func (s *State) choose(r *Request, ranked []*Server, view *LoadView, limit float64) (Placement, bool) {
 	var leastLoaded, leastLoadedAvoided Placement
 	for rank, server := range ranked {
-		if slices.Contains(r.TriedServers, server.ID) || !s.Roster.AcceptsRequests(server) || !s.coldBudgetAllows(server, view.Now) || !s.rateLimitAllows(server, view.Now) {
+		if !s.isCandidate(r, server) || !s.coldBudgetAllows(server, view.Now) || !s.rateLimitAllows(server, view.Now) {
 			continue
 		}
 		choice := Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit, RateLimit: s.rateLimit(server.ID)}
@@ -148,6 +148,12 @@
 	return leastLoaded, false
 }
 
+// isCandidate reports whether a request may be sent to a server as soon as the server's budgets
+// allow it.
+func (s *State) isCandidate(r *Request, server *Server) bool {
+	return s.Roster.AcceptsRequests(server) && !slices.Contains(r.TriedServers, server.ID)
+}
+
 // isAvoided reports whether a server has failed recently or its failure domain is unreachable.
 func (s *State) isAvoided(server *Server, now time.Time) bool {
 	if health := s.Health[server.ID]; health != nil && health.IsAvoided(now) {
--- a/core/dtdispatch/ratelimit.go
+++ b/core/dtdispatch/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -140,7 +139,7 @@
 	backoff := time.Duration(0)
 	for _, server := range s.eligibleServers(r, s.Roster.ByService[r.Service]) {
 		rate := s.limitedRate(server, now)
-		if rate == nil || !s.Roster.AcceptsRequests(server) || slices.Contains(r.TriedServers, server.ID) {
+		if rate == nil || !s.isCandidate(r, server) {
 			continue
 		}
 		wait := retryAfterBusy // Another router has a share.
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -209,7 +209,7 @@
 		return
 	}
 	s.updateReport(r.Server, ev.Report, now)
-	s.Crashes.MarkSound(r.PromptParts, now)
+	s.Crashes.MarkSound(r.PromptParts)
 	if server := s.Roster.Servers[r.Server]; server != nil {
 		s.Prompts.RecordRead(r.PromptParts, server.Ref(), now)
 	}
@@ -271,7 +271,7 @@
 	}
 	switch ev.Outcome {
 	case OutcomeCompleted:
-		s.Crashes.MarkSound(r.PromptParts, now)
+		s.Crashes.MarkSound(r.PromptParts)
 		h.RecordSuccess()
 	case OutcomeFailure:
 		if ev.Status >= minServerErrorStatus {
