metrics of refusals say which requests may have run

Operators would see: dottereltack_refusals_total counts each refusal as ran="no", also the 502 after a cut and the 504 of a request that a server was running, where callers were told that it may have run and the command refusals says unknown. Change: the refusal carries whether the request may have run. Test: TestRefusalMetricSaysThatARequestMayHaveRun fails on the code before for both.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -31,6 +31,7 @@
 	Status     int
 	Reason     Reason
 	RetryAfter time.Duration
+	MayHaveRun bool // A server may have executed the request.
 }
 
 // ForwardFailure sends the caller the error response of a server, which the relay has kept since
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -379,7 +379,7 @@
 
 // refuse ends a request with an error response of this router.
 func (s *State) refuse(r *Request, refusal Refuse, now time.Time) {
-	refusal.Number = r.Number
+	refusal.Number, refusal.MayHaveRun = r.Number, r.MayHaveRun
 	s.emit(refusal)
 	s.finish(r, "refused "+refusal.Reason.String(), refusal.Status, now)
 }
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -127,7 +127,7 @@
 	case dtdispatch.SendRequest:
 		n.Relay.Deliver(e.Number, e)
 	case dtdispatch.Refuse:
-		n.Meter.CountRefusal(e.Reason.String(), "no")
+		n.Meter.CountRefusal(e.Reason.String(), ran(e.MayHaveRun))
 		n.Relay.Deliver(e.Number, e)
 	case dtdispatch.ForwardFailure:
 		n.Relay.Deliver(e.Number, e)
--- a/dottereltack/dtnode/node_test.go
+++ b/dottereltack/dtnode/node_test.go
@@ -407,3 +407,42 @@
 		})
 	}
 }
+
+// TestRefusalMetricSaysThatARequestMayHaveRun guards against a count of refusals that tells operators
+// that nothing has run, where the caller was told that it may have.
+func TestRefusalMetricSaysThatARequestMayHaveRun(t *testing.T) {
+	metrics := func(n *testNode) func() string {
+		return func() string {
+			var b strings.Builder
+			n.Meter.Set.WritePrometheus(&b)
+			return b.String()
+		}
+	}
+	t.Run("after a cut", func(t *testing.T) {
+		n := newNode(t, newServer(t, func(_ string, _ *http.Request, c net.Conn) { _ = c.Close() }))
+		c := n.dial()
+		c.send("/once/x", "q", "")
+		resp, err := c.readResponse()
+		n.Expect(err).NotTo(HaveOccurred())
+		n.Expect(resp.status).To(Equal(502))
+		n.Eventually(metrics(n)).Should(ContainSubstring(`dottereltack_refusals_total{reason="server_lost",ran="unknown"} 1`))
+	})
+	t.Run("after a timeout", func(t *testing.T) {
+		n := newNode(t, newServer(t, func(string, *http.Request, net.Conn) { time.Sleep(5 * time.Second) }))
+		c := n.dial()
+		c.send("/once/x", "q", "")
+		resp, err := c.readResponse()
+		n.Expect(err).NotTo(HaveOccurred())
+		n.Expect(resp.status).To(Equal(504))
+		n.Eventually(metrics(n)).Should(ContainSubstring(`dottereltack_refusals_total{reason="expired",ran="unknown"} 1`))
+	})
+	t.Run("not if no route matches", func(t *testing.T) {
+		n := newNode(t, newServer(t, func(string, *http.Request, net.Conn) {}))
+		c := n.dial()
+		c.send("/none/x", "q", "")
+		resp, err := c.readResponse()
+		n.Expect(err).NotTo(HaveOccurred())
+		n.Expect(resp.status).To(Equal(404))
+		n.Eventually(metrics(n)).Should(ContainSubstring(`dottereltack_refusals_total{reason="no_route",ran="no"} 1`))
+	})
+}
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -63,6 +63,14 @@
 	write("event", logFields(e)...)
 }
 
+// ran returns the label that says whether a refused request ran.
+func ran(mayHaveRun bool) string {
+	if mayHaveRun {
+		return "unknown"
+	}
+	return "no"
+}
+
 func logFields(e *dtdispatch.LogRecord) []any {
 	const maxFields = 32
 	fields := make([]any, 0, maxFields)
