the time of an upload counts towards the timeout of a request

Callers would see: one whose body takes a second to arrive waits a second longer than the route's timeout and its own. Change: the arrival is when the head had been read. Test: TestSlowUploadCountsTowardsTheTimeout fails on the code before (3.0 s, timeout 2 s).

--- a/dottereltack/dtnode/node_test.go
+++ b/dottereltack/dtnode/node_test.go
@@ -446,3 +446,18 @@
 		n.Eventually(metrics(n)).Should(ContainSubstring(`dottereltack_refusals_total{reason="no_route",ran="no"} 1`))
 	})
 }
+
+// TestSlowUploadCountsTowardsTheTimeout guards against a caller that is held past the route's
+// timeout because its body took long to arrive.
+func TestSlowUploadCountsTowardsTheTimeout(t *testing.T) {
+	n := newNode(t, newServer(t, func(string, *http.Request, net.Conn) { time.Sleep(5 * time.Second) }))
+	c := n.dial()
+	start := time.Now()
+	_, _ = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\nContent-Length: 4\r\n\r\nab")
+	time.Sleep(time.Second)
+	_, _ = io.WriteString(c, "cd")
+	resp, err := c.readResponse()
+	n.Expect(err).NotTo(HaveOccurred())
+	n.Expect(resp.status).To(Equal(504))
+	n.Expect(time.Since(start)).To(BeNumerically("~", 2*time.Second, 500*time.Millisecond))
+}
--- a/dottereltack/dtrelay/caller.go
+++ b/dottereltack/dtrelay/caller.go
@@ -56,6 +56,7 @@
 	if err != nil {
 		return nil, nil, errorStatus(err)
 	}
+	h.ReadAt = time.Now()
 	if h.Length == 0 {
 		return h, nil, 0
 	}
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -45,7 +45,7 @@
 func (r *Relay) newExchange(c *callerConn, h *RequestHead, body []byte) *exchange {
 	return &exchange{
 		relay: r, caller: c, head: h, body: body, info: r.dialect.ParseRequest(h),
-		number: dtdispatch.RequestNumber(r.lastRequestNumber.Add(1)), arrivedAt: time.Now(),
+		number: dtdispatch.RequestNumber(r.lastRequestNumber.Add(1)), arrivedAt: h.ReadAt,
 		effects: make(chan dtdispatch.Effect, 1), closeAfterResponse: h.Close,
 	}
 }
--- a/dottereltack/dtrelay/head.go
+++ b/dottereltack/dtrelay/head.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Errors of a caller's request.
@@ -35,6 +36,7 @@
 	Host           string
 	Fields         []HeaderField // End-to-end header fields, without Host, Expect and framing fields.
 	Length         int           // Length of the body in bytes, or chunkedLength.
+	ReadAt         time.Time     // When the head had been read.
 	Close          bool          // The connection is to be closed after the response.
 	ExpectContinue bool          // The caller waits for status 100 before it sends the body.
 }
