events whose lines end in CR LF are passed on as they arrive

Callers would see: nothing until the stream ends, and then a stream that was broken off. Change: an event ends with an empty line, whichever end it has; lines are looked at once. Test: TestEventsWithOtherLineEnds fails on the code before for CR LF.

--- a/dottereltack/dtrelay/sse.go
+++ b/dottereltack/dtrelay/sse.go
@@ -7,8 +7,9 @@
 
 // eventSplitter splits a stream of server-sent events at the blank lines between them.
 type eventSplitter struct {
-	buffer []byte
-	lastID string // ID of the last complete event.
+	buffer  []byte
+	scanned int    // Start of the first line that has not been looked at.
+	lastID  string // ID of the last complete event.
 }
 
 func (s *eventSplitter) write(b []byte) { s.buffer = append(s.buffer, b...) }
@@ -16,27 +17,42 @@
 // takeComplete removes the complete events from the buffer and returns them, without the
 // events up to and including afterID. The result is valid until the next write.
 func (s *eventSplitter) takeComplete(afterID string) []byte {
-	end := bytes.LastIndex(s.buffer, []byte("\n\n"))
-	if end < 0 {
-		return nil
+	start, end := 0, 0
+	for {
+		n := s.nextEventEnd()
+		if n < 0 {
+			break
+		}
+		id := eventID(s.buffer[end:n])
+		end = n
+		if id == "" {
+			continue
+		}
+		if afterID != "" && isAtOrBefore(id, afterID) {
+			start = end
+		}
+		s.lastID = id
 	}
-	end += len("\n\n")
-	events := s.buffer[:end]
-	rest := s.buffer[end:]
-	start := 0
-	for pos := 0; pos < end; {
-		n := bytes.Index(events[pos:], []byte("\n\n")) + len("\n\n")
-		id := eventID(events[pos : pos+n])
-		if id != "" {
-			if afterID != "" && isAtOrBefore(id, afterID) {
-				start = pos + n
-			}
-			s.lastID = id
+	events := s.buffer[start:end]
+	s.buffer = s.buffer[end:]
+	s.scanned -= end
+	return events
+}
+
+// nextEventEnd returns the end of the next event, after the blank line that ends it, or -1 if the
+// event is incomplete.
+func (s *eventSplitter) nextEventEnd() int {
+	for {
+		n := bytes.IndexByte(s.buffer[s.scanned:], '\n')
+		if n < 0 {
+			return -1
+		}
+		line := s.buffer[s.scanned : s.scanned+n]
+		s.scanned += n + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return s.scanned
 		}
-		pos += n
 	}
-	s.buffer = rest
-	return events[start:]
 }
 
 // eventID returns the value of an event's id field, or "".
--- /dev/null
+++ b/dottereltack/dtrelay/sse_test.go
@@ -0,0 +1,36 @@
+package dtrelay
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestEventsWithOtherLineEnds guards against events that are held until the stream ends, and then
+// dropped as broken off, because their lines end in CR LF.
+func TestEventsWithOtherLineEnds(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n", "CR LF": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			first := "id: 1" + end + "data: a" + end + end
+			second := "id: 2" + end + "data: b" + end + end
+			text := first + second + "id: 3" + end
+			s := eventSplitter{}
+			var got string
+			for i := range len(text) {
+				s.write([]byte{text[i]})
+				got += string(s.takeComplete(""))
+				if i == len(first)-1 {
+					g.Expect(got).To(Equal(first))
+				}
+			}
+			g.Expect(got).To(Equal(first + second))
+			g.Expect(s.lastID).To(Equal("2"))
+			g.Expect(s.buffer).NotTo(BeEmpty(), "the third event is incomplete")
+			s = eventSplitter{}
+			s.write([]byte(first + second))
+			g.Expect(string(s.takeComplete("1"))).To(Equal(second))
+			g.Expect(s.buffer).To(BeEmpty())
+		})
+	}
+}
