a connection that is returned to a closed pool is closed

Servers would see: a connection that stays open until the process ends, if a response ends while the relay is closed. Change: the pool remembers it.

--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -37,8 +37,9 @@
 // idlePool keeps idle connections to backend servers by address.
 type idlePool struct {
 	dialer net.Dialer
-	mu     sync.Mutex
+	mu     sync.Mutex // Guards the next two fields.
 	idle   map[string][]*serverConn
+	closed bool
 }
 
 func newIdlePool() *idlePool {
@@ -91,12 +92,17 @@
 	return c
 }
 
-// put adds a connection whose last response was read completely. It closes the oldest
+// put adds a connection whose last response was read completely; it closes the connection if the
+// pool is closed. It closes the oldest
 // connections to the address if they have expired or exceed maxIdleConns.
 func (p *idlePool) put(address string, c *serverConn, maxIdleConns int, now time.Time) {
 	c.lastUsed = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.Close()
+		return
+	}
 	list := p.idle[address]
 	for len(list) > 0 && (now.Sub(list[0].lastUsed) > list[0].idleTimeout || len(list) >= maxIdleConns) {
 		_ = list[0].Close()
@@ -118,7 +124,7 @@
 func (p *idlePool) close() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle = map[string][]*serverConn{}
+	p.idle, p.closed = nil, true
 	p.mu.Unlock()
 	for _, list := range idle {
 		for _, c := range list {
