news beyond what one message holds go with the next

Callers would see: in a large fleet, when one server crash cuts off more than 64 requests, or more than 256 servers name a rate at once, the reports that did not fit were passed over for good (rates) or until a repetition (crashes). Cause: the cursor of what has been sent moved to the newest news, whether or not all of them fitted. Found by reading. Change: news go oldest first, and the cursor stops at the last one sent. Test: TestNewsBeyondOneMessage (600 crashes and rates at once) fails on the code before.

--- a/core/dtdispatch/crash_test.go
+++ b/core/dtdispatch/crash_test.go
@@ -224,3 +224,36 @@
 		g.Expect(f.routers["r2"].state.Crashes.Block(1, parts).IsActive(f.routers["r2"].now)).To(BeTrue())
 	})
 }
+
+// TestNewsBeyondOneMessage guards against news that are never sent, since more became known at once
+// than a message holds.
+func TestNewsBeyondOneMessage(t *testing.T) {
+	const count = 600
+	r := newEmptyRouter(t, "r1")
+	r.step(dtdispatch.ConfigReceived{Config: testConfig(1)})
+	r.listServers(1, testServers(count)...)
+	for range count {
+		n := r.sendRequest("/once/x")
+		server := r.onlySend().Server
+		report := &dtdispatch.ServerReport{ReceivedAt: r.now, RateLimit: dtdispatch.RateLimit{PerSecond: 1, IsSet: true}}
+		r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost, func(ev *dtdispatch.AttemptEnded) { ev.Report = report })
+		r.step(dtdispatch.ServerChecked{Server: server})
+	}
+	digests, rates := map[uint64]bool{}, map[dtdispatch.ServerRef]bool{}
+	for _, send := range effectsOf[dtdispatch.SendToPeers](r.advance(4 * time.Second)) {
+		status, ok := send.Message.(*dtdispatch.PeerStatus)
+		if !ok || status.Crashes == nil {
+			continue
+		}
+		r.Expect(len(status.Crashes.Reports)).To(BeNumerically("<=", 64))
+		r.Expect(len(status.Rates)).To(BeNumerically("<=", 256))
+		for _, report := range status.Crashes.Reports {
+			digests[report.Digest] = true
+		}
+		for _, rate := range status.Rates {
+			rates[rate.Server] = true
+		}
+	}
+	r.Expect(digests).To(HaveLen(count))
+	r.Expect(rates).To(HaveLen(count))
+}
--- a/core/dtdispatch/crashnews.go
+++ b/core/dtdispatch/crashnews.go
@@ -1,6 +1,10 @@
 package dtdispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Parameters of the exchange of crash reports.
 const (
@@ -37,32 +41,51 @@
 	if len(t.Reports) == 0 {
 		return CrashNews{}
 	}
-	repeat := now.Sub(cursor.RepeatedAt) >= crashRepeatInterval
-	if repeat {
+	news := CrashNews{SoundParts: t.soundPartsAfter(cursor.Seq, ownOnly)}
+	sentBefore := cursor.Seq
+	news.Reports, cursor.Seq = t.reportsAfter(cursor.Seq, ownOnly, now)
+	if now.Sub(cursor.RepeatedAt) >= crashRepeatInterval {
 		cursor.RepeatedAt = now
+		news.Reports = t.appendRepeated(news.Reports, sentBefore, ownOnly, now)
 	}
-	news := CrashNews{Reports: t.reportsAfter(cursor.Seq, repeat, ownOnly, now), SoundParts: t.soundPartsAfter(cursor.Seq, ownOnly)}
-	cursor.Seq = t.seq
 	return news
 }
 
-// reportsAfter returns the recent reports after seq or, if repeat is set, all recent ones and those
-// that support a block.
-func (t *CrashTracker) reportsAfter(seq uint64, repeat, ownOnly bool, now time.Time) []CrashReport {
+// reportsAfter returns the recent reports after seq, oldest first, and the position up to which
+// there are no others.
+func (t *CrashTracker) reportsAfter(seq uint64, ownOnly bool, now time.Time) ([]CrashReport, uint64) {
 	var reports []CrashReport
+	first, _ := slices.BinarySearchFunc(t.Reports, seq+1, func(c *KnownCrash, seq uint64) int { return cmp.Compare(c.Seq, seq) })
+	for _, crash := range t.Reports[first:] {
+		if len(reports) == maxReportsPerMessage {
+			return reports, seq
+		}
+		if crash.isRecent(ownOnly, now) {
+			reports = append(reports, crash.CrashReport)
+		}
+		seq = crash.Seq
+	}
+	return reports, t.seq
+}
+
+// appendRepeated adds to reports the recent ones up to seq and those that support a block, newest
+// first, as far as a message holds them.
+func (t *CrashTracker) appendRepeated(reports []CrashReport, seq uint64, ownOnly bool, now time.Time) []CrashReport {
 	for i := len(t.Reports) - 1; i >= 0 && len(reports) < maxReportsPerMessage; i-- {
 		crash := t.Reports[i]
-		if !repeat && crash.Seq <= seq {
-			break
-		}
-		isRecent := now.Sub(crash.LearnedAt) < crashBroadcastPeriod && (crash.IsOwn || !ownOnly)
-		if isRecent || repeat && t.supportsBlock(crash, now) {
+		if crash.Seq <= seq && crash.isRecent(ownOnly, now) || !crash.isRecent(ownOnly, now) && t.supportsBlock(crash, now) {
 			reports = append(reports, crash.CrashReport)
 		}
 	}
 	return reports
 }
 
+// isRecent reports whether a crash is still told to peers; if ownOnly is set, only one that this
+// router saw.
+func (c *KnownCrash) isRecent(ownOnly bool, now time.Time) bool {
+	return now.Sub(c.LearnedAt) < crashBroadcastPeriod && (c.IsOwn || !ownOnly)
+}
+
 // soundPartsAfter returns the prompt parts that have been found sound after seq.
 func (t *CrashTracker) soundPartsAfter(seq uint64, ownOnly bool) []uint64 {
 	var parts []uint64
--- a/core/dtdispatch/ratelimit.go
+++ b/core/dtdispatch/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -170,29 +171,45 @@
 }
 
 // rateReports returns what is to be sent to the peers of a cursor and advances it: the limits that
-// have changed since the last call and, at intervals, all. If ownOnly is set, limits that other
-// routers have observed are left out.
+// have changed since the last call and, at intervals, the others. If ownOnly is set, limits that
+// other routers have observed are left out.
 func (s *State) rateReports(cursor *NewsCursor, ownOnly bool, now time.Time) []RateReport {
 	if len(s.ServerRates) == 0 {
 		return nil
 	}
-	repeat := now.Sub(cursor.RepeatedAt) >= rateRepeatInterval
-	if repeat {
+	changed, others := s.ratesAfter(cursor.Seq, ownOnly, now)
+	cursor.Seq = s.lastRateSeq
+	if len(changed) > maxRatesPerMessage {
+		changed = changed[:maxRatesPerMessage]
+		cursor.Seq = s.ServerRates[changed[maxRatesPerMessage-1].ID].Seq
+	}
+	if now.Sub(cursor.RepeatedAt) >= rateRepeatInterval {
 		cursor.RepeatedAt = now
+		changed = append(changed, others[:min(len(others), maxRatesPerMessage-len(changed))]...)
+	}
+	reports := make([]RateReport, len(changed))
+	for i, server := range changed {
+		rate := s.ServerRates[server.ID]
+		reports[i] = RateReport{Server: server.Ref(), Limit: rate.Limit, AgeMs: now.Sub(rate.ObservedAt).Milliseconds()}
 	}
-	var reports []RateReport
+	return reports
+}
+
+// ratesAfter returns the servers whose limits have changed after seq, in the order of the changes,
+// and the others whose limits hold or have ended lately.
+func (s *State) ratesAfter(seq uint64, ownOnly bool, now time.Time) (changed, others []*Server) {
 	for _, id := range sortedKeys(s.ServerRates) {
 		rate, server := s.ServerRates[id], s.Roster.Servers[id]
-		if server == nil || ownOnly && !rate.IsOwn || len(reports) >= maxRatesPerMessage {
-			continue
-		}
-		isCurrent := rate.Limit.IsSet || now.Sub(rate.ObservedAt) < endedRateRetention
-		if rate.Seq > cursor.Seq || repeat && isCurrent {
-			reports = append(reports, RateReport{Server: server.Ref(), Limit: rate.Limit, AgeMs: now.Sub(rate.ObservedAt).Milliseconds()})
+		switch {
+		case server == nil || ownOnly && !rate.IsOwn:
+		case rate.Seq > seq:
+			changed = append(changed, server)
+		case rate.Limit.IsSet || now.Sub(rate.ObservedAt) < endedRateRetention:
+			others = append(others, server)
 		}
 	}
-	cursor.Seq = s.lastRateSeq
-	return reports
+	slices.SortFunc(changed, func(a, b *Server) int { return cmp.Compare(s.ServerRates[a.ID].Seq, s.ServerRates[b.ID].Seq) })
+	return changed, others
 }
 
 // mergeRates applies the limits that a peer knows.
