servers that announce that they leave, or ask for a pause, get no requests

Cause: responses with Server-Leaving and refusals with Retry-After were read as any other, so that a server went on getting requests until the store's list had it as draining, and during the pause that it had asked for. Change: what a server announces is a belief of the router that has received the response, tied to the incarnation that the request was sent to; it outlives the server's removal from the list and ends with a new incarnation or the end of the pause. One function, availability, says whether a server may be sent a request and, if not, why and until when: draining, domain out, leaving, backoff, cold, rate. If none is available, the request is refused at once with the earliest time. Two reasons of refusals are new, server_backoff and cold_servers (before: no_server); metrics count the announcements.

--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -71,6 +71,8 @@
 	ReceivedAt time.Time
 	Load       *LoadReport // Nil if the server reported none.
 	RateLimit  RateLimit
+	Leaving    bool          // The server is leaving and wants no further requests.
+	Backoff    time.Duration // The server wants no requests of this router for so long; zero if it named no time.
 }
 
 // ResponseStarted reports that the first event of a stream has arrived.
--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -98,7 +98,8 @@
 func (s *State) replaceRoster(ev ServersListed, now time.Time) {
 	oldHash := s.Roster.Hash
 	old := s.Roster.Servers
-	s.handleRosterChange(s.Roster.Replace(ev.Servers, ev.Revision, outageHeartbeats*s.Settings.Bounds.HeartbeatInterval, now))
+	added, removed := s.Roster.Replace(ev.Servers, ev.Revision, outageHeartbeats*s.Settings.Bounds.HeartbeatInterval, now)
+	s.handleRosterChange(added, removed, now)
 	s.ServerListPolling.LastHash = s.Roster.Hash
 	if s.Roster.Hash != oldHash {
 		s.sendToDomain(s.rosterDelta(old, oldHash, now), now)
@@ -124,7 +125,7 @@
 }
 
 // handleRosterChange discards the state of removed servers and the health of added ones.
-func (s *State) handleRosterChange(added, removed []ServerID) {
+func (s *State) handleRosterChange(added, removed []ServerID, now time.Time) {
 	for _, id := range removed {
 		delete(s.Loads, id)
 		delete(s.Health, id)
@@ -137,6 +138,7 @@
 		delete(s.ServerRates, id)
 		s.emit(LogRecord{Event: "server_listed", Subject: string(id), Detail: s.Roster.Servers[id].Address})
 	}
+	s.forgetNotices(now)
 }
 
 // rosterDelta returns the changes since the list old, whose hash is oldHash.
@@ -181,7 +183,8 @@
 	if delta.BaseHash != s.Roster.Hash {
 		revision, listedAt = s.Roster.Revision, s.Roster.ListedAt
 	}
-	s.handleRosterChange(s.Roster.Update(list, revision, listedAt, now))
+	added, removed := s.Roster.Update(list, revision, listedAt, now)
+	s.handleRosterChange(added, removed, now)
 }
 
 func (s *State) sendToDomain(m PeerMessage, now time.Time) {
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -133,7 +133,8 @@
 		s.emit(DecodeConfig{Source: m.Source})
 	case *RosterReply:
 		listedAt := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-		s.handleRosterChange(s.Roster.Update(m.Servers, m.Revision, listedAt, now))
+		added, removed := s.Roster.Update(m.Servers, m.Revision, listedAt, now)
+		s.handleRosterChange(added, removed, now)
 	case *RosterDelta:
 		s.handleRosterDelta(m, now)
 	case *RouterLoads:
--- a/core/dtdispatch/place.go
+++ b/core/dtdispatch/place.go
@@ -110,7 +110,7 @@
 // place chooses the server for the next attempt of a request. Server is nil if no server may
 // take the request.
 func (s *State) place(r *Request, now time.Time) Placement {
-	servers := s.eligibleServers(r, s.Roster.ByService[r.Service])
+	servers := s.eligibleServers(r, s.Roster.ByService[r.Service], now)
 	view := s.loadView(now)
 	limit := s.loadLimit(view.MeanInFlight(r.Service, s.withoutRateLimit(servers)), view.Lag)
 	ranker := s.rankerFor(r)
@@ -129,7 +129,7 @@
 func (s *State) choose(r *Request, ranked []*Server, view *LoadView, limit float64) (Placement, bool) {
 	var leastLoaded, leastLoadedAvoided Placement
 	for rank, server := range ranked {
-		if !s.isCandidate(r, server) || !s.coldBudgetAllows(server, view.Now) || !s.rateLimitAllows(server, view.Now) {
+		if slices.Contains(r.TriedServers, server.ID) || s.availability(server, view.Now).Block != BlockNone {
 			continue
 		}
 		choice := Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit, RateLimit: s.rateLimit(server.ID)}
@@ -148,12 +148,6 @@
 	return leastLoaded, false
 }
 
-// isCandidate reports whether a request may be sent to a server as soon as the server's budgets
-// allow it.
-func (s *State) isCandidate(r *Request, server *Server) bool {
-	return s.Roster.AcceptsRequests(server) && !slices.Contains(r.TriedServers, server.ID)
-}
-
 // isAvoided reports whether a server has failed recently or its failure domain is unreachable.
 func (s *State) isAvoided(server *Server, now time.Time) bool {
 	if health := s.Health[server.ID]; health != nil && health.IsAvoided(now) {
@@ -165,7 +159,7 @@
 
 // eligibleServers returns the servers in the regions that may run the request. It returns only
 // those in the router's own region if any of them accepts requests.
-func (s *State) eligibleServers(r *Request, servers []*Server) []*Server {
+func (s *State) eligibleServers(r *Request, servers []*Server, now time.Time) []*Server {
 	if len(r.AllowedRegions) == 0 && len(r.Route.AllowedRegions) == 0 && s.hasSingleRegion() {
 		return servers
 	}
@@ -180,7 +174,7 @@
 		allowed = append(allowed, server)
 		if region == ownRegion {
 			local = append(local, server)
-			hasAcceptingLocal = hasAcceptingLocal || s.Roster.AcceptsRequests(server)
+			hasAcceptingLocal = hasAcceptingLocal || s.acceptsRequests(server, now)
 		}
 	}
 	if hasAcceptingLocal {
@@ -261,16 +255,3 @@
 	}
 	return p
 }
-
-// coldBudgetAllows reports whether one more request to a server is within its cold budget. A
-// warm server has no such budget.
-func (s *State) coldBudgetAllows(server *Server, now time.Time) bool {
-	if !now.Before(server.ColdUntil) || s.Config == nil {
-		return true
-	}
-	rate := s.Config.Services[server.Service].ColdRate
-	if rate <= 0 {
-		return true
-	}
-	return s.coldBudget(server, now).HasRoom(rate, s.Settings.Bounds, s.RouterCount(now), now)
-}
--- a/core/dtdispatch/ratelimit.go
+++ b/core/dtdispatch/ratelimit.go
@@ -16,12 +16,11 @@
 	rateSlack     = 3 // Two less than a server tolerates, as routers may know different numbers of routers.
 	// Requests per second that a server gets even if it names a lower rate, so that its responses
 	// show when the limit ends.
-	minServerRate       = 0.25
-	rateShareInterval   = time.Second     // Interval at which a router's share is calculated.
-	rateRepeatInterval  = time.Second     // Interval at which rates are repeated to peers, as messages may be lost.
-	endedRateRetention  = 5 * time.Second // Time for which the end of a limit is repeated.
-	maxRatesPerMessage  = 256
-	minRateLimitBackoff = 100 * time.Millisecond // Shortest Retry-After while all servers are at their limits.
+	minServerRate      = 0.25
+	rateShareInterval  = time.Second     // Interval at which a router's share is calculated.
+	rateRepeatInterval = time.Second     // Interval at which rates are repeated to peers, as messages may be lost.
+	endedRateRetention = 5 * time.Second // Time for which the end of a limit is repeated.
+	maxRatesPerMessage = 256
 )
 
 // RateLimit is the number of requests per second that a server accepts from all routers together.
@@ -121,39 +120,12 @@
 	return rate
 }
 
-// rateLimitAllows reports whether one more request to a server is within this router's share of
-// the rate that the server has named.
-func (s *State) rateLimitAllows(server *Server, now time.Time) bool {
-	rate := s.limitedRate(server, now)
-	return rate == nil || rate.Tokens >= 1
-}
-
 func (s *State) countRateLimitedRequest(server *Server, now time.Time) {
 	if rate := s.limitedRate(server, now); rate != nil {
 		rate.Tokens--
 	}
 }
 
-// rateLimitBackoff returns how long a caller is to wait if no server of a service accepts a
-// request because of the rates that they have named, or zero if that is not the reason.
-func (s *State) rateLimitBackoff(r *Request, now time.Time) time.Duration {
-	backoff := time.Duration(0)
-	for _, server := range s.eligibleServers(r, s.Roster.ByService[r.Service]) {
-		rate := s.limitedRate(server, now)
-		if rate == nil || !s.isCandidate(r, server) {
-			continue
-		}
-		wait := retryAfterBusy // Another router has a share.
-		if at, ok := rate.nextTokenAt(now); ok {
-			wait = max(at.Sub(now), minRateLimitBackoff)
-		}
-		if backoff == 0 || wait < backoff {
-			backoff = wait
-		}
-	}
-	return backoff
-}
-
 // rateLimit returns the limit that a server has named last.
 func (s *State) rateLimit(id ServerID) RateLimit {
 	if rate := s.ServerRates[id]; rate != nil {
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -142,10 +142,7 @@
 	r.Placement = s.place(r, now)
 	server := r.Placement.Server
 	if server == nil {
-		if s.rateLimitBackoff(r, now) > 0 {
-			reason = ReasonServerLimit
-		}
-		s.giveUp(r, reason, now)
+		s.giveUp(r, s.blockedReason(r, reason, now), now)
 		return
 	}
 	r.Attempt++
@@ -208,15 +205,21 @@
 	if r == nil || r.Attempt != ev.Attempt {
 		return
 	}
-	s.updateReport(r.Server, ev.Report, now)
+	s.updateReport(r, ev.Report, now)
 	s.Crashes.MarkSound(r.PromptParts)
 	if server := s.Roster.Servers[r.Server]; server != nil {
 		s.Prompts.RecordRead(r.PromptParts, server.Ref(), now)
 	}
 }
 
-func (s *State) updateReport(id ServerID, report *ServerReport, now time.Time) {
-	if report == nil || s.Roster.Servers[id] == nil {
+// updateReport applies what the server of the current attempt has stated about itself.
+func (s *State) updateReport(r *Request, report *ServerReport, now time.Time) {
+	if report == nil {
+		return
+	}
+	s.recordNotice(r.Placement.Server, report, r.ID)
+	id := r.Server
+	if s.Roster.Servers[id] == nil {
 		return
 	}
 	if report.Load != nil {
@@ -257,14 +260,14 @@
 // recordResult updates the load and health of the server and its failure domain, and records a
 // lost connection as a possible crash.
 func (s *State) recordResult(r *Request, ev *AttemptEnded, now time.Time) {
+	if ev.Outcome != OutcomeWrongServer {
+		s.updateReport(r, ev.Report, now)
+	}
 	server := s.Roster.Servers[r.Server]
 	if server == nil {
 		return
 	}
 	s.serverLoad(r.Server).RequestEnded()
-	if ev.Outcome != OutcomeWrongServer {
-		s.updateReport(r.Server, ev.Report, now)
-	}
 	h := s.serverHealth(r.Server)
 	if ev.Status != 0 {
 		s.domainHealth(server.Domain).RecordResponse()
@@ -370,8 +373,8 @@
 		s.refuse(r, Refuse{Status: statusBadGateway, Reason: ReasonServerLost}, now)
 	case reason == ReasonPoison:
 		s.refuse(r, s.refuseBlocked(r, s.Crashes.Block(r.Digest, r.PromptParts), now), now)
-	case reason == ReasonServerLimit:
-		s.refuse(r, unavailable(reason, s.rateLimitBackoff(r, now)), now)
+	case reason == ReasonServerLimit || reason == ReasonServerBackoff || reason == ReasonColdServers:
+		s.refuse(r, unavailable(reason, s.blockedRetryAfter(r, now)), now)
 	default:
 		s.refuse(r, unavailable(reason, retryAfterBusy), now)
 	}
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -235,8 +235,3 @@
 	r.OutOfServiceDomains = next
 	return changed
 }
-
-// AcceptsRequests reports whether new requests may be sent to a server.
-func (r *Roster) AcceptsRequests(server *Server) bool {
-	return !server.Draining && !r.OutOfServiceDomains[server.Domain]
-}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -52,9 +52,10 @@
 	Loads             map[ServerID]*ServerLoad
 	Health            map[ServerID]*ServerHealth
 	ColdBudgets       map[ServerID]*ColdBudget
-	ServerRates       map[ServerID]*ServerRate // Of servers that have named a limit.
-	DomainHealth      map[string]*DomainHealth // By failure domain.
-	RetryBudgets      map[string]*RetryBudget  // By service.
+	ServerRates       map[ServerID]*ServerRate   // Of servers that have named a limit.
+	Notices           map[ServerID]*ServerNotice // Of servers that have announced something, also after they have left the list.
+	DomainHealth      map[string]*DomainHealth   // By failure domain.
+	RetryBudgets      map[string]*RetryBudget    // By service.
 	Crashes           CrashTracker
 	Prompts           PromptIndex
 	Requests          map[RequestNumber]*Request
@@ -82,6 +83,7 @@
 		Health:       map[ServerID]*ServerHealth{},
 		ColdBudgets:  map[ServerID]*ColdBudget{},
 		ServerRates:  map[ServerID]*ServerRate{},
+		Notices:      map[ServerID]*ServerNotice{},
 		DomainHealth: map[string]*DomainHealth{},
 		RetryBudgets: map[string]*RetryBudget{},
 		Crashes:      NewCrashTracker(Mix(HashString(settings.RouterName), uint64(settings.Start))),
--- a/dottereltack/dtmeter/meter.go
+++ b/dottereltack/dtmeter/meter.go
@@ -39,6 +39,11 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_attempts_failed_total{outcome=%q}`, outcome)).Inc()
 }
 
+// CountServerNotice counts an announcement of a backend server, "leaving" or "backoff".
+func (m *Meter) CountServerNotice(notice string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_server_notices_total{notice=%q}`, notice)).Inc()
+}
+
 // CountRefusal counts a refused request by reason and by whether it ran.
 func (m *Meter) CountRefusal(reason, ran string) {
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_refusals_total{reason=%q,ran=%q}`, reason, ran)).Inc()
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -55,6 +55,8 @@
 		n.Meter.ObserveRequestDuration(e.Kind, e.Elapsed)
 	case "attempt":
 		n.Meter.CountFailedAttempt(e.Outcome)
+	case "server_leaving", "server_backoff":
+		n.Meter.CountServerNotice(strings.TrimPrefix(e.Event, "server_"))
 	}
 	write := n.Log.Info
 	if e.Status >= 500 || e.Event == "attempt" || e.Event == "store_lost" {
@@ -96,6 +98,7 @@
 	add("load", e.Placement.Load, e.Placement.Server != nil)
 	add("limit", int(e.Placement.Limit), e.Placement.Server != nil)
 	add("rate_limit", cmp.Or(e.RateLimit.PerSecond, e.Placement.RateLimit.PerSecond), e.RateLimit.IsSet || e.Placement.RateLimit.IsSet || e.Event == "server_limit")
+	add("backoff_ms", e.Backoff.Milliseconds(), e.Backoff != 0)
 	add("progress", e.Progress.String(), e.Progress != dtdispatch.ProgressNone || e.Event == "crash_suspect")
 	add("parts", partIDs(e.PromptParts), len(e.PromptParts) > 0)
 	add("crashes", e.Crashes, e.Crashes != 0)
