a response counts for a request only if its ID says so

Cause: a refusal without a request ID counted as the refusal of the request in progress. A server that writes an earlier refusal once more on a kept connection has the next request, which it runs, sent to a second server or reported as not run. A request without an ID took any response without one, and a request with the ID of an earlier one took a late copy of the earlier response. Change: matchResponse decides to which request a response belongs; what is not certain counts as malformed, so that the request may have run. A connection on which a response to another request has arrived is not used again, nor one on which the same ID has been sent, and requests without an ID have connections of their own.

--- a/dottereltack/dtnode/node_test.go
+++ b/dottereltack/dtnode/node_test.go
@@ -78,6 +78,9 @@
 		"a refusal without proof that the request did not run": {"/once/", func(_ int32, id string, c net.Conn) {
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 		}, 502},
+		"a refusal of an unknown request": {"/once/", func(_ int32, _ string, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}, 502},
 		"an error of the server": {"/once/", func(_ int32, id string, c net.Conn) {
 			_, _ = io.WriteString(c, "HTTP/1.1 500 Bad\r\nX-Id: "+id+"\r\nX-Signed: 7\r\nContent-Length: 0\r\n\r\n")
 		}, 500},
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -71,7 +71,7 @@
 
 // run performs the attempt and sets its outcome.
 func (a *attempt) run() {
-	conn, err := a.exchange.relay.pool.get(a.exchange.ctx, a.send.Address, a.send.AtMostOnce, a.send.ConnectTimeout)
+	conn, err := a.exchange.relay.pool.get(a.exchange.ctx, a.exchange.info.ID, a.send)
 	if err != nil {
 		a.exchange.relay.pool.closeAddress(a.send.Address)
 		a.setOutcome(dtdispatch.OutcomeUnreachable, err)
@@ -140,14 +140,16 @@
 			continue
 		}
 		info := a.exchange.relay.dialect.ParseResponse(resp.Header)
-		if info.ID == a.exchange.info.ID || info.ID == "" && info.NotRun {
+		match := matchResponse(a.exchange.info.ID, info.ID)
+		if match == matchesRequest {
 			a.resp, a.info = resp, info
 			a.result.Status, a.result.Progress = resp.StatusCode, dtdispatch.ProgressHeader
-			a.result.Report = &dtdispatch.ServerReport{ReceivedAt: time.Now(), Load: info.Load, RateLimit: info.RateLimit}
+			a.result.Report = serverReport(resp.StatusCode, &info, time.Now())
 			return true
 		}
+		a.conn.outOfSync = true
 		a.conn.limiter.stop()
-		if !discard(resp.Body) || info.ID == "" {
+		if match == matchesUnknown || !discard(resp.Body) {
 			break
 		}
 		a.conn.limiter.start()
@@ -156,6 +158,15 @@
 	return false
 }
 
+// serverReport returns what a server states about itself in a response that arrived at now.
+func serverReport(status int, info *ResponseInfo, now time.Time) *dtdispatch.ServerReport {
+	report := &dtdispatch.ServerReport{ReceivedAt: now, Load: info.Load, RateLimit: info.RateLimit, Leaving: info.Leaving}
+	if status == http.StatusServiceUnavailable {
+		report.Backoff = info.RetryAfter
+	}
+	return report
+}
+
 // setTransportOutcome sets the outcome of an attempt whose connection failed or timed out
 // or whose response is malformed. If the connection was reused, a failure or timeout also
 // closes the idle connections to the same address.
@@ -238,7 +249,7 @@
 		return
 	}
 	a.exchange.setConn(nil)
-	keep := a.reusable && a.conn.reader.Buffered() == 0 && !a.resp.Close
+	keep := a.reusable && !a.conn.outOfSync && a.exchange.info.ID != "" && a.conn.reader.Buffered() == 0 && !a.resp.Close
 	if a.bodyWriteErr != nil {
 		select {
 		case err := <-a.bodyWriteErr:
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
@@ -30,6 +31,8 @@
 	reader      *bufio.Reader
 	limiter     *headLimiter // Source of reader.
 	reused      bool
+	outOfSync   bool          // The server has sent a response to an earlier request, or an unexpected one.
+	requestIDs  requestIDs    // Of the requests sent.
 	idleTimeout time.Duration // How long the server keeps the connection open.
 	lastUsed    time.Time
 }
@@ -50,17 +53,39 @@
 	return p
 }
 
-// get returns an idle connection that is still open, or else a new one.
-func (p *idlePool) get(ctx context.Context, address string, atMostOnce bool, timeout time.Duration) (*serverConn, error) {
-	now := time.Now()
-	for c := p.take(address); c != nil; c = p.take(address) {
+// get returns a connection for a request: an idle one that is still open, or else a new one. A
+// request without an ID always gets a new one.
+func (p *idlePool) get(ctx context.Context, requestID string, send *dtdispatch.SendRequest) (*serverConn, error) {
+	c := p.takeOpen(requestID, send, time.Now())
+	if c == nil {
+		var err error
+		if c, err = p.connect(ctx, send.Address, send.ConnectTimeout); err != nil {
+			return nil, err
+		}
+	}
+	c.requestIDs.add(requestID)
+	return c, nil
+}
+
+// takeOpen removes and returns an idle connection that a request may use, or nil. It closes those
+// that it may not use.
+func (p *idlePool) takeOpen(requestID string, send *dtdispatch.SendRequest, now time.Time) *serverConn {
+	if requestID == "" {
+		return nil
+	}
+	for c := p.take(send.Address); c != nil; c = p.take(send.Address) {
 		age := now.Sub(c.lastUsed)
-		if age < c.idleTimeout && (!atMostOnce || age < maxIdleTimeAtMostOnce) && c.isIdle() {
+		if age < c.idleTimeout && (!send.AtMostOnce || age < maxIdleTimeAtMostOnce) && !c.requestIDs.contains(requestID) && c.isIdle() {
 			c.reused = true
-			return c, nil
+			return c
 		}
 		_ = c.Close()
 	}
+	return nil
+}
+
+// connect returns a new connection.
+func (p *idlePool) connect(ctx context.Context, address string, timeout time.Duration) (*serverConn, error) {
 	c, err := p.dial(ctx, address, timeout)
 	if err != nil {
 		return nil, err
