a resumed stream passes on the same events however its bytes arrive

Cause: events without an ID before a repeated event were dropped if they arrived in the same read, and passed on if they came alone. Found by FuzzEvents, which compares whole and divided reads. Change: each event up to the resumption is left out by itself; events without an ID are passed on.

--- a/dottereltack/dtrelay/sse.go
+++ b/dottereltack/dtrelay/sse.go
@@ -14,26 +14,26 @@
 
 func (s *eventSplitter) write(b []byte) { s.buffer = append(s.buffer, b...) }
 
-// takeComplete removes the complete events from the buffer and returns them, without the
-// events up to and including afterID. The result is valid until the next write.
+// takeComplete removes the complete events from the buffer and returns them, without those whose
+// IDs are up to and including afterID. The result is valid until the next write.
 func (s *eventSplitter) takeComplete(afterID string) []byte {
-	start, end := 0, 0
+	kept, end := 0, 0
 	for {
 		n := s.nextEventEnd()
 		if n < 0 {
 			break
 		}
-		id := eventID(s.buffer[end:n])
+		event := s.buffer[end:n]
 		end = n
-		if id == "" {
-			continue
+		id := eventID(event)
+		if id != "" {
+			s.lastID = id
 		}
-		if afterID != "" && isAtOrBefore(id, afterID) {
-			start = end
+		if id == "" || afterID == "" || !isAtOrBefore(id, afterID) {
+			kept += copy(s.buffer[kept:], event)
 		}
-		s.lastID = id
 	}
-	events := s.buffer[start:end]
+	events := s.buffer[:kept]
 	s.buffer = s.buffer[end:]
 	s.scanned -= end
 	return events
--- a/dottereltack/dtrelay/sse_test.go
+++ b/dottereltack/dtrelay/sse_test.go
@@ -34,3 +34,19 @@
 		})
 	}
 }
+
+// TestResumedEventsWithoutID checks that a resumed stream passes on the same events whether they
+// arrive together or apart: those without an ID always, such as the end marker of some servers.
+func TestResumedEventsWithoutID(t *testing.T) {
+	text := ": comment\n\nid: 1\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n"
+	want := ": comment\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n"
+	for _, size := range []int{1, 5, len(text)} {
+		s := eventSplitter{}
+		got := ""
+		for piece := range bytesIn([]byte(text), size) {
+			s.write(piece)
+			got += string(s.takeComplete("1"))
+		}
+		NewWithT(t).Expect(got).To(Equal(want), "in reads of %d bytes", size)
+	}
+}
