--- a/core/dtdispatch/availability.go
+++ b/core/dtdispatch/availability.go
@@ -18,18 +18,19 @@
 
 // Reasons for which a server may not be sent a request.
 const (
-	BlockNone     Block = iota
-	BlockDraining       // The server is listed as draining.
-	BlockDomain         // Its failure domain is out of service.
-	BlockLeaving        // The server has announced that it is leaving.
-	BlockBackoff        // The server has asked for a pause.
-	BlockCold           // This router has used up its share of what a cold server may get.
-	BlockRate           // This router has used up its share of the rate that the server has named.
+	BlockNone       Block = iota
+	BlockDraining         // The server is listed as draining.
+	BlockOwnAddress       // The server is listed at an address of this router.
+	BlockDomain           // Its failure domain is out of service.
+	BlockLeaving          // The server has announced that it is leaving.
+	BlockBackoff          // The server has asked for a pause.
+	BlockCold             // This router has used up its share of what a cold server may get.
+	BlockRate             // This router has used up its share of the rate that the server has named.
 )
 
 // String returns the name of the block in logs.
 func (b Block) String() string {
-	return [...]string{"none", "draining", "domain_out", "leaving", "backoff", "cold", "rate"}[b]
+	return [...]string{"none", "draining", "own_address", "domain_out", "leaving", "backoff", "cold", "rate"}[b]
 }
 
 // Availability says whether a server may be sent a request and, if not, until when.
@@ -61,6 +62,8 @@
 	switch {
 	case server.Draining:
 		return Availability{Block: BlockDraining}
+	case slices.Contains(s.Settings.OwnAddresses, server.Address):
+		return Availability{Block: BlockOwnAddress}
 	case s.Roster.OutOfServiceDomains[server.Domain]:
 		return Availability{Block: BlockDomain}
 	}
@@ -75,8 +78,11 @@
 
 // acceptsRequests reports whether a server may be sent requests as soon as its budgets allow them.
 func (s *State) acceptsRequests(server *Server, now time.Time) bool {
-	block := s.availability(server, now).Block
-	return block != BlockDraining && block != BlockDomain && block != BlockLeaving
+	switch s.availability(server, now).Block {
+	case BlockDraining, BlockOwnAddress, BlockDomain, BlockLeaving:
+		return false
+	}
+	return true
 }
 
 // announcedAvailability applies what the server has announced in its responses.
--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -1,6 +1,9 @@
 package dtdispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Timing of the calls that read the server list. In each failure domain one router, the reader,
 // reads the list and sends it to the others; it is also the collector of the domain.
@@ -169,8 +172,9 @@
 	for id, server := range s.Roster.Servers {
 		merged[id] = server
 	}
-	for i := range delta.Changed {
-		merged[delta.Changed[i].ID] = &delta.Changed[i]
+	changed := s.validServers(delta.Changed)
+	for i := range changed {
+		merged[changed[i].ID] = &changed[i]
 	}
 	for _, id := range delta.Removed {
 		delete(merged, id)
@@ -187,6 +191,17 @@
 	s.handleRosterChange(added, removed, now)
 }
 
+// validServers returns the servers of a list from a peer that are valid, and logs the others.
+func (s *State) validServers(list []Server) []Server {
+	return slices.DeleteFunc(list, func(server Server) bool {
+		err := server.Validate()
+		if err != nil {
+			s.emit(LogRecord{Event: "server_ignored", Detail: err.Error()})
+		}
+		return err != nil
+	})
+}
+
 func (s *State) sendToDomain(m PeerMessage, now time.Time) {
 	for _, name := range sortedKeys(s.Peers.ByName) {
 		peer := s.Peers.ByName[name]
--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -30,6 +30,21 @@
 	Cores   float64 // CPU cores available to its process; the routers with most cores become delegates and collectors.
 }
 
+// Validate returns an InvalidEntryError for the first field that no router can have.
+func (r *Router) Validate() error {
+	switch {
+	case !isName(r.Name):
+		return &InvalidEntryError{Field: "router name"}
+	case !isName(r.Domain):
+		return &InvalidEntryError{Field: "failure domain"}
+	case !isHostAddress(r.Address):
+		return &InvalidEntryError{Field: "address"}
+	case !(r.Cores >= 0 && r.Cores <= maxCores):
+		return &InvalidEntryError{Field: "cores"}
+	}
+	return nil
+}
+
 // Membership lists the routers of the fleet and the links to them.
 type Membership struct {
 	ListedRouters   map[string]Router // By name, as in the last list.
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -133,7 +133,7 @@
 		s.emit(DecodeConfig{Source: m.Source})
 	case *RosterReply:
 		listedAt := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-		added, removed := s.Roster.Update(m.Servers, m.Revision, listedAt, now)
+		added, removed := s.Roster.Update(s.validServers(m.Servers), m.Revision, listedAt, now)
 		s.handleRosterChange(added, removed, now)
 	case *RosterDelta:
 		s.handleRosterDelta(m, now)
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -20,34 +20,6 @@
 	minStablePeriod = 6 * time.Second
 )
 
-// ServerID identifies a backend server; entries with the same ID and different start times are
-// different incarnations of it.
-type ServerID string
-
-// Server is a backend server as listed in the store.
-type Server struct {
-	_msgpack      struct{} `msgpack:",as_array"` //nolint:unused // Encoded without field names because lists are long.
-	ID            ServerID
-	Service       string
-	Address       string
-	Domain        string
-	Slots         int
-	Draining      bool
-	Start         int64         // Start time of the server in Unix milliseconds; zero if unknown.
-	Seq           int64         // Sequence number of the entry within the incarnation.
-	ColdFor       time.Duration // Remaining cold period when listed; a cold server has started recently and handles only Service.ColdRate requests per second.
-	ColdUntil     time.Time     `msgpack:"-"` // Derived from ColdFor, which is what peers get, because the clocks of hosts differ.
-	FirstListedAt time.Time     `msgpack:"-"` // Time when this router first listed the server; for servers of its first list, the start time, or zero if unknown.
-	IDHash        uint64        `msgpack:"-"`
-}
-
-// ServerRef is a 32-bit hash of a ServerID, which replaces the longer ID in messages that are
-// sent several times a second.
-type ServerRef uint32
-
-// Ref returns the short reference of the server.
-func (s *Server) Ref() ServerRef { return ServerRef(s.IDHash) }
-
 // Roster is the list of the backend servers known to the router, with the failure domains that
 // are out of service.
 type Roster struct {
@@ -198,25 +170,6 @@
 	}
 }
 
-// hash returns a hash of the properties that placement depends on.
-func (s *Server) hash() uint64 {
-	flags := uint64(s.Start)
-	if s.Draining {
-		flags++
-	}
-	if s.ColdFor > 0 {
-		flags += 2
-	}
-	return Mix(HashString(string(s.ID)+" "+s.Address+" "+s.Service+" "+s.Domain), flags)
-}
-
-// forPeer returns a copy for a peer in which ColdFor is relative to now.
-func (s *Server) forPeer(now time.Time) Server {
-	c := *s
-	c.ColdFor = max(s.ColdUntil.Sub(now), 0)
-	return c
-}
-
 // SetOutOfServiceDomains sets the failure domains that are out of service and reports whether
 // they have changed; it ignores a revision older than the last one.
 func (r *Roster) SetOutOfServiceDomains(domains []string, revision uint64) bool {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -38,10 +38,13 @@
 type Settings struct {
 	RouterName string
 	Address    string // Where other routers reach this one.
-	Domain     string
-	Regions    map[string]string // Regions by failure domain.
-	Bounds     Bounds
-	Start      int64 // Start time in Unix milliseconds, which identifies the incarnation of the router.
+	// Addresses that this router listens on. A server that is listed at one of them gets no requests,
+	// since they would come back to this router.
+	OwnAddresses []string
+	Domain       string
+	Regions      map[string]string // Regions by failure domain.
+	Bounds       Bounds
+	Start        int64 // Start time in Unix milliseconds, which identifies the incarnation of the router.
 }
 
 // State is the complete state of a router's reducer; only Step changes it.
