bytes that complete no event do not keep a stalled stream alive

Cause: each byte read put off the idle timeout of a resumable stream, so that a server that has stalled and sends a byte now and then held the stream until its deadline. Change: the idle timeout counts from the last event with a new ID. Result: TestStream with a server that sends a byte at a time fails before (the stream was broken off at its deadline) and is resumed at another server since.

--- a/dottereltack/dtnode/node_test.go
+++ b/dottereltack/dtnode/node_test.go
@@ -218,6 +218,12 @@
 		"truncated within an event": func(c net.Conn) { _, _ = io.WriteString(c, chunk("id: 3\nda")); _ = c.Close() },
 		"broken off":                func(c net.Conn) { _ = c.Close() },
 		"silent":                    func(net.Conn) { time.Sleep(3 * time.Second) },
+		"sent a byte at a time": func(c net.Conn) {
+			for range 30 {
+				_, _ = io.WriteString(c, chunk(":"))
+				time.Sleep(100 * time.Millisecond)
+			}
+		},
 	}
 	for name, fail := range failures {
 		var count atomic.Int32
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -24,15 +24,20 @@
 		afterID = a.exchange.lastEventID
 	}
 	buffer := make([]byte, streamBufferBytes)
+	progressAt := time.Now()
 	for {
-		_ = a.conn.SetReadDeadline(a.readDeadline())
+		_ = a.conn.SetReadDeadline(a.readDeadline(progressAt))
 		n, err := a.resp.Body.Read(buffer)
 		events.write(buffer[:n])
+		lastID := events.lastID
 		if writeErr := a.forwardEvents(events.takeComplete(afterID), events.lastID); writeErr != nil {
 			a.setOutcome(dtdispatch.OutcomeCallerGone, writeErr)
 			a.exchange.closeAfterResponse = true
 			return
 		}
+		if events.lastID != lastID {
+			progressAt = time.Now()
+		}
 		if len(events.buffer) > maxEventBytes {
 			a.setOutcome(dtdispatch.OutcomeMalformed, errEventTooLarge)
 			return
@@ -48,15 +53,17 @@
 	}
 }
 
-// readDeadline returns the time by which the next bytes of a stream must arrive.
-func (a *attempt) readDeadline() time.Time {
+// readDeadline returns the time by which the next event of a stream must arrive, the last one having
+// arrived at progressAt. Bytes that complete no event do not extend it, or a server that has stalled
+// could hold the stream with one byte now and then.
+func (a *attempt) readDeadline(progressAt time.Time) time.Time {
 	switch {
 	case !a.exchange.headSent:
 		return a.send.HeaderDeadline
 	case a.send.StreamIdleTimeout <= 0:
 		return a.send.Deadline
 	}
-	deadline := time.Now().Add(a.send.StreamIdleTimeout)
+	deadline := progressAt.Add(a.send.StreamIdleTimeout)
 	if deadline.After(a.send.Deadline) {
 		return a.send.Deadline
 	}
