routers try servers whose limit they have not heard confirmed lately

Change: the first router by rank that has a share sends its next request to a server two seconds after the last response that it has heard of, whatever the prompt; the others follow at intervals of a second. The request counts against the share, and the prompt is copied from the server that would have had it.

--- a/core/dtdispatch/place.go
+++ b/core/dtdispatch/place.go
@@ -114,6 +114,10 @@
 	view := s.loadView(now)
 	limit := s.loadLimit(view.MeanInFlight(r.Service, s.withoutRateLimit(servers)), view.Lag)
 	ranker := s.rankerFor(r)
+	if server := s.trialServer(r, servers, view, limit); server != nil {
+		s.ServerRates[server.ID].TrialAt = now
+		return s.withCacheSource(s.placementOn(server, 0, view, limit), r, ranker.Rank(servers, view, initialCandidates), now)
+	}
 	for n := initialCandidates; ; n = len(servers) {
 		ranked := ranker.Rank(servers, view, n)
 		choice, hasRoom := s.choose(r, ranked, view, limit)
@@ -132,7 +136,7 @@
 		if slices.Contains(r.TriedServers, server.ID) || s.availability(server, view.Now).Block != BlockNone {
 			continue
 		}
-		choice := Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit, RateLimit: s.rateLimit(server.ID)}
+		choice := s.placementOn(server, rank, view, limit)
 		if s.isAvoided(server, view.Now) {
 			leastLoadedAvoided = leastLoadedAvoided.lessLoaded(choice)
 			continue
@@ -148,6 +152,11 @@
 	return leastLoaded, false
 }
 
+// placementOn returns the placement of a request on a server.
+func (s *State) placementOn(server *Server, rank int, view *LoadView, limit float64) Placement {
+	return Placement{Server: server, Rank: rank, Load: view.InFlight(server), Limit: limit, RateLimit: s.rateLimit(server.ID)}
+}
+
 // isAvoided reports whether a server has failed recently or its failure domain is unreachable.
 func (s *State) isAvoided(server *Server, now time.Time) bool {
 	if health := s.Health[server.ID]; health != nil && health.IsAvoided(now) {
--- a/core/dtdispatch/ratelimit.go
+++ b/core/dtdispatch/ratelimit.go
@@ -41,12 +41,14 @@
 	ShareSetAt time.Time
 	Tokens     float64 // Requests that this router may send.
 	RefilledAt time.Time
+	TrialAt    time.Time // Time of this router's last trial request.
 }
 
 // RateShare is the part of a server's request rate that one router may use.
 type RateShare struct {
 	PerSecond float64 // Zero if the rate is divided among other routers.
 	MaxTokens float64
+	Rank      int // Position of the router among those with a share, from 0.
 }
 
 // shareRate divides a rate among count routers, of which those with the given names are known, and
@@ -66,7 +68,7 @@
 	if rank >= members {
 		return RateShare{}
 	}
-	return RateShare{PerSecond: rate / float64(members), MaxTokens: tokens / float64(members)}
+	return RateShare{PerSecond: rate / float64(members), MaxTokens: tokens / float64(members), Rank: rank}
 }
 
 // refill adds the tokens that have accrued since the last call.
