readers of large fleets read the operators' keys for the others

Change: reading the keys is an effect of the reducer, as reading the list of servers is. In a large fleet the readers wait for changes with short calls; statuses carry the age of what their sender knows, and a router that has heard nothing fresh for too long asks the store itself.

--- a/core/dtdispatch/availability_test.go
+++ b/core/dtdispatch/availability_test.go
@@ -186,3 +186,13 @@
 	r.listServers(4)
 	r.Expect(r.state.Notices).To(BeEmpty())
 }
+
+// TestServerAtOwnAddress guards against an entry of another writer at the address of this router, which
+// would send its requests to itself again and again.
+func TestServerAtOwnAddress(t *testing.T) {
+	r := newRouter(t, 1)
+	list := testServers(2)
+	list[1].Address = "10.9.9.9:80"
+	r.listServers(2, list...)
+	r.Expect(r.serversOf(8)).NotTo(HaveKey(dtdispatch.ServerID("s1")))
+}
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -74,6 +74,11 @@
 // follows.
 type ListRouters struct{}
 
+// ReadOperatorKeys reads the operators' keys from the store, or waits up to Wait for a change of what
+// has been read before; ConfigReceived and DomainsOutOfServiceListed follow with what is new, then
+// OperatorKeysRead, or OperatorKeysFailed.
+type ReadOperatorKeys struct{ Wait time.Duration }
+
 // RestartWatch restarts the watch of the operators' keys, which may be waiting on a dead
 // connection after an outage of the store.
 type RestartWatch struct{}
@@ -111,23 +116,24 @@
 // Exit requests that the process exit, because the shutdown is complete.
 type Exit struct{ Abandoned int }
 
-func (SendRequest) isEffect()    {}
-func (Refuse) isEffect()         {}
-func (ForwardFailure) isEffect() {}
-func (AbortResponse) isEffect()  {}
-func (CheckServer) isEffect()    {}
-func (PublishConfig) isEffect()  {}
-func (SetReady) isEffect()       {}
-func (CloseIdleConns) isEffect() {}
-func (SendToPeers) isEffect()    {}
-func (DecodeConfig) isEffect()   {}
-func (ListServers) isEffect()    {}
-func (ListRouters) isEffect()    {}
-func (RestartWatch) isEffect()   {}
-func (SetPeerLinks) isEffect()   {}
-func (LogRecord) isEffect()      {}
-func (SetTimer) isEffect()       {}
-func (Exit) isEffect()           {}
+func (SendRequest) isEffect()      {}
+func (Refuse) isEffect()           {}
+func (ForwardFailure) isEffect()   {}
+func (AbortResponse) isEffect()    {}
+func (CheckServer) isEffect()      {}
+func (PublishConfig) isEffect()    {}
+func (SetReady) isEffect()         {}
+func (CloseIdleConns) isEffect()   {}
+func (SendToPeers) isEffect()      {}
+func (DecodeConfig) isEffect()     {}
+func (ListServers) isEffect()      {}
+func (ListRouters) isEffect()      {}
+func (ReadOperatorKeys) isEffect() {}
+func (RestartWatch) isEffect()     {}
+func (SetPeerLinks) isEffect()     {}
+func (LogRecord) isEffect()        {}
+func (SetTimer) isEffect()         {}
+func (Exit) isEffect()             {}
 
 // Reason states why a request was refused.
 type Reason uint8
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -122,6 +122,18 @@
 	Revision uint64
 }
 
+// OperatorKeysRead reports that a ReadOperatorKeys effect has ended; the events before it have
+// delivered what has changed.
+type OperatorKeysRead struct {
+	Unchanged bool // Nothing has changed since the last read.
+}
+
+// OperatorKeysFailed reports that the operators' keys could not be read.
+type OperatorKeysFailed struct {
+	Detail      string
+	Interrupted bool // The call was ended by RestartWatch.
+}
+
 // StoreFailed reports that a call to the store failed.
 type StoreFailed struct {
 	Call   string // Name of the call.
@@ -152,6 +164,8 @@
 func (RoutersListed) isEvent()             {}
 func (ListServersFailed) isEvent()         {}
 func (DomainsOutOfServiceListed) isEvent() {}
+func (OperatorKeysRead) isEvent()          {}
+func (OperatorKeysFailed) isEvent()        {}
 func (StoreFailed) isEvent()               {}
 func (PeerMessageReceived) isEvent()       {}
 func (SettingsChanged) isEvent()           {}
--- a/core/dtdispatch/fleet_test.go
+++ b/core/dtdispatch/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -90,12 +91,48 @@
 	down         map[string]bool // Routers that have crashed.
 	cores        map[string]float64
 	rejected     map[string]bool // Routers whose calls the store rejects.
+	operators    operatorStore
+	isolated     map[string]bool // Routers whose messages, from and to, are lost.
+}
+
+// operatorStore holds the operators' keys of a simulated store.
+type operatorStore struct {
+	config       *dtdispatch.Config
+	outOfService []string
+	revision     uint64
+	calls        map[string]int       // By router.
+	readRevision map[string]uint64    // Revision that each router has read.
+	waitingUntil map[string]time.Time // Time when each pending call must return, by router.
+}
+
+// completeOperatorCall completes the pending ReadOperatorKeys call of a router if the keys have
+// changed, the store does not respond to the router or the wait is over.
+func (f *fleet) completeOperatorCall(name string) {
+	r, o := f.routers[name], &f.operators
+	until, waits := o.waitingUntil[name]
+	unchanged := o.readRevision[name] == o.revision
+	unavailable := f.store == nil || f.rejected[name]
+	if !waits || !unavailable && unchanged && r.now.Before(until) {
+		return
+	}
+	delete(o.waitingUntil, name)
+	if unavailable {
+		f.perform(name, r.step(dtdispatch.OperatorKeysFailed{Detail: "down"}))
+		return
+	}
+	if !unchanged {
+		o.readRevision[name] = o.revision
+		f.perform(name, r.step(dtdispatch.ConfigReceived{Config: o.config}))
+		f.perform(name, r.step(dtdispatch.DomainsOutOfServiceListed{Domains: o.outOfService, Revision: o.revision}))
+	}
+	f.perform(name, r.step(dtdispatch.OperatorKeysRead{Unchanged: unchanged}))
 }
 
 // newFleet returns a fleet of routers in one failure domain.
 func newFleet(t *testing.T, names ...string) *fleet {
 	t.Helper()
 	f := &fleet{readRevision: map[string]uint64{}, waitingUntil: map[string]time.Time{}, links: map[string]map[string]string{}, messagesSent: map[string]int{}, bytesSent: map[string]int{}, routers: map[string]*router{}, listCalls: map[string]int{}, store: testServers(4), revision: 1, down: map[string]bool{}}
+	f.operators = operatorStore{config: testConfig(1), revision: 1, calls: map[string]int{}, readRevision: map[string]uint64{}, waitingUntil: map[string]time.Time{}}
 	for _, name := range names {
 		f.routers[name] = newEmptyRouter(t, name)
 	}
@@ -110,6 +147,7 @@
 			if r := f.routers[name]; !f.down[name] {
 				f.perform(name, r.advance(tick))
 				f.completeListCall(name)
+				f.completeOperatorCall(name)
 			}
 		}
 	}
@@ -122,6 +160,14 @@
 			f.listCalls[from]++
 			f.waitingUntil[from] = f.routers[from].now.Add(e.Wait)
 			f.completeListCall(from)
+		case dtdispatch.ReadOperatorKeys:
+			f.operators.calls[from]++
+			f.operators.waitingUntil[from] = f.routers[from].now.Add(e.Wait)
+			f.completeOperatorCall(from)
+		case dtdispatch.DecodeConfig:
+			version, err := strconv.ParseInt(string(e.Source), 10, 64)
+			f.routers[from].Expect(err).NotTo(HaveOccurred())
+			f.perform(from, f.routers[from].step(dtdispatch.ConfigReceived{Config: testConfig(version)}))
 		case dtdispatch.ListRouters:
 			if f.store != nil {
 				f.perform(from, f.routers[from].step(f.routersListed()))
@@ -175,7 +221,7 @@
 		}
 		f.messagesSent[from]++
 		f.bytesSent[from] += len(encoded)
-		if !f.down[name] {
+		if !f.down[name] && !f.isolated[name] && !f.isolated[from] {
 			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: e.Message}))
 		}
 	}
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -47,7 +47,7 @@
 	t.Helper()
 	now := time.UnixMilli(1_700_000_000_000)
 	state := dtdispatch.New(dtdispatch.Settings{
-		RouterName: name, Address: name + ":1", Domain: domain, Bounds: bounds, Start: now.UnixMilli(), Regions: map[string]string{"d0": "east", "d1": "east"},
+		RouterName: name, Address: name + ":1", OwnAddresses: []string{"10.9.9.9:80"}, Domain: domain, Bounds: bounds, Start: now.UnixMilli(), Regions: map[string]string{"d0": "east", "d1": "east"},
 	}, now)
 	return &router{WithT: NewWithT(t), state: state, now: now}
 }
--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -19,24 +19,16 @@
 	// A reader silent for this long is considered failed; it sends more often than that.
 	readerTimeout           = 1200 * time.Millisecond
 	serverListBatchInterval = 200 * time.Millisecond // A burst of changes within this time takes one call.
-	minServerListRetryDelay = 250 * time.Millisecond // After a failed call; doubled with each further failure.
 	// Maximum retry intervals. The reader retries more often, so that it detects the recovery
 	// of the store and sends the list to the others.
 	maxReaderRetryDelay    = 500 * time.Millisecond
 	maxNonReaderRetryDelay = 2 * time.Second
 )
 
-// maxRetryDoublings limits the exponential backoff.
-const maxRetryDoublings = 4
-
 // ServerListPolling is the state of reading the server list from the store.
 type ServerListPolling struct {
-	InProgress bool
-	StartedAt  time.Time // Start of the last call.
-	NextAt     time.Time // Earliest start of the next call.
-	LastHash   uint64    // Hash of the list after the last call.
-	Failures   int       // Number of consecutive failed calls.
-	RetryAt    time.Time // Earliest retry after a failed call.
+	Polling
+	LastHash uint64 // Hash of the list after the last call.
 }
 
 // nextServerListAt returns when this router is to read the list next, or the zero time while a
@@ -49,10 +41,10 @@
 	if !s.isReader(now) {
 		due = s.Roster.ListedAt.Add(s.serverListWait() + readerGracePeriod)
 	}
-	if s.Roster.ListedAt.IsZero() || due.Before(s.ServerListPolling.RetryAt) {
+	if s.Roster.ListedAt.IsZero() {
 		return s.ServerListPolling.RetryAt
 	}
-	return due
+	return later(due, s.ServerListPolling.RetryAt)
 }
 
 // serverListWait returns how long a call waits for the list to change.
@@ -70,7 +62,7 @@
 	if s.ServerListPolling.InProgress || now.Before(due) {
 		return
 	}
-	s.ServerListPolling.InProgress, s.ServerListPolling.StartedAt = true, now
+	s.ServerListPolling.Begin(now)
 	wait := s.serverListWait()
 	if now.Sub(s.Roster.ListedAt) > wait {
 		wait = 0 // The list is late: waiting longer would make it look like an outage of the store.
@@ -86,7 +78,7 @@
 	if ev.Unchanged {
 		nextAt = s.ServerListPolling.StartedAt.Add(minServerListInterval) // In the past, unless the store returns without waiting.
 	}
-	s.ServerListPolling = ServerListPolling{NextAt: nextAt, LastHash: lastHash}
+	s.ServerListPolling.Succeed(nextAt)
 	if ev.Unchanged && !s.Roster.HasRetainedServers && s.Roster.Hash == lastHash {
 		s.Roster.Confirm(now, ev.Revision, now)
 	} else {
@@ -122,9 +114,7 @@
 	if s.isReader(now) {
 		maxDelay = maxReaderRetryDelay
 	}
-	s.ServerListPolling.InProgress = false
-	s.ServerListPolling.RetryAt = now.Add(min(minServerListRetryDelay<<min(s.ServerListPolling.Failures, maxRetryDoublings), maxDelay))
-	s.ServerListPolling.Failures++
+	s.ServerListPolling.Fail(maxDelay, now)
 }
 
 // handleRosterChange discards the state of removed servers and the health of added ones.
--- /dev/null
+++ b/core/dtdispatch/operatorkeys.go
@@ -0,0 +1,156 @@
+package dtdispatch
+
+import "time"
+
+// Timing of the calls that read the operators' keys, which hold the configuration and the failure
+// domains out of service. In a small fleet each router watches them. In a large one only the readers
+// do, and the other routers hear from their reader how old its knowledge is; they ask the store
+// themselves if it becomes too old for a change to be in force in time.
+const (
+	operatorWatchWait     = 20 * time.Second        // May be long because TCP keep-alive detects a dead connection sooner.
+	operatorStartupDelay  = 2500 * time.Millisecond // Between the first two calls; the fleet and its readers are known after it.
+	operatorBatchInterval = 400 * time.Millisecond  // A burst of changes within this time takes one call.
+	maxOperatorRetryDelay = time.Second
+	readerWaitShare       = 0.25                   // Of the drain timeout, for which a reader's call waits.
+	maxOperatorAgeShare   = 0.8                    // Of the drain timeout.
+	operatorAgeMargin     = 300 * time.Millisecond // For the transit of messages.
+	operatorReadSpread    = 300 * time.Millisecond // Routers that lose their reader ask the store within this time.
+	operatorSpreadSteps   = 1 << 8
+)
+
+// OperatorKeys is the state of reading the operators' keys.
+type OperatorKeys struct {
+	Polling     Polling
+	ConfirmedAt time.Time // Time as of which the router's configuration and domains out of service are known to be current.
+}
+
+// OperatorNews is what a router knows of the operators' keys, and how old that is.
+type OperatorNews struct {
+	ConfigVersion        int64    `msgpack:"v"`
+	OutOfServiceDomains  []string `msgpack:"o,omitempty"`
+	OutOfServiceRevision uint64   `msgpack:"or"`
+	AgeMs                int64    `msgpack:"oa,omitempty"` // Since it was known to be current; zero if unknown.
+}
+
+// operatorNews returns what this router knows.
+func (s *State) operatorNews(now time.Time) OperatorNews {
+	news := OperatorNews{
+		OutOfServiceDomains: sortedKeys(s.Roster.OutOfServiceDomains), OutOfServiceRevision: s.Roster.OutOfServiceRevision,
+	}
+	if s.Config != nil {
+		news.ConfigVersion = s.Config.Version
+	}
+	if !s.OperatorKeys.ConfirmedAt.IsZero() {
+		news.AgeMs = max(now.Sub(s.OperatorKeys.ConfirmedAt).Milliseconds(), 1)
+	}
+	return news
+}
+
+// mergeOperatorNews applies what a peer knows, and requests its configuration if that is newer.
+func (s *State) mergeOperatorNews(from string, news *OperatorNews, now time.Time) {
+	s.setOutOfServiceDomains(news.OutOfServiceDomains, news.OutOfServiceRevision)
+	if s.configVersion() < news.ConfigVersion {
+		s.requestConfig(from, now)
+		return
+	}
+	if news.AgeMs > 0 {
+		s.confirmOperatorKeys(now.Add(-time.Duration(news.AgeMs) * time.Millisecond))
+	}
+}
+
+// requestConfig asks a peer for its configuration, unless a peer has been asked just now.
+func (s *State) requestConfig(from string, now time.Time) {
+	if now.Sub(s.Peers.ConfigRequestedAt) < syncRetryInterval {
+		return
+	}
+	s.Peers.ConfigRequestedAt = now
+	s.emit(SendToPeers{To: from, Message: &SyncRequest{From: s.Settings.RouterName, WantsConfig: true}})
+}
+
+// configVersion returns the version of the configuration in force, or zero if there is none.
+func (s *State) configVersion() int64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
+func (s *State) confirmOperatorKeys(at time.Time) {
+	s.OperatorKeys.ConfirmedAt = later(s.OperatorKeys.ConfirmedAt, at)
+}
+
+// followsReader reports whether this router hears of the operators' keys from its reader.
+func (s *State) followsReader(now time.Time) bool { return s.Membership.IsLarge() && !s.isReader(now) }
+
+// nextOperatorReadAt returns when the operators' keys are to be read next, or the zero time while a
+// call is in progress.
+func (s *State) nextOperatorReadAt(now time.Time) time.Time {
+	p := &s.OperatorKeys.Polling
+	if p.InProgress {
+		return time.Time{}
+	}
+	due := p.NextAt
+	if s.followsReader(now) {
+		due = later(due, s.OperatorKeys.ConfirmedAt.Add(s.maxOperatorAge()+s.operatorReadOffset()))
+	}
+	return later(due, p.RetryAt)
+}
+
+// maxOperatorAge returns the age of a follower's knowledge at which it asks the store itself. Until
+// then another router can take over from a reader that has failed.
+func (s *State) maxOperatorAge() time.Duration {
+	age := s.readerWait() + maxStatusInterval + readerTimeout + operatorAgeMargin
+	return min(age, time.Duration(maxOperatorAgeShare*float64(s.Settings.Bounds.DrainTimeout)))
+}
+
+// operatorReadOffset returns this router's part of operatorReadSpread.
+func (s *State) operatorReadOffset() time.Duration {
+	step := HashString(s.Settings.RouterName) % operatorSpreadSteps
+	return time.Duration(step) * operatorReadSpread / operatorSpreadSteps
+}
+
+// readerWait returns how long a call of a reader waits for a change, which is how often it confirms
+// its knowledge.
+func (s *State) readerWait() time.Duration {
+	return time.Duration(readerWaitShare * float64(s.Settings.Bounds.DrainTimeout))
+}
+
+func (s *State) readOperatorKeysIfDue(now time.Time) {
+	if s.OperatorKeys.Polling.InProgress || now.Before(s.nextOperatorReadAt(now)) {
+		return
+	}
+	s.OperatorKeys.Polling.Begin(now)
+	wait := operatorWatchWait
+	if s.Membership.IsLarge() && s.isReader(now) {
+		wait = s.readerWait()
+	}
+	s.emit(ReadOperatorKeys{Wait: wait})
+}
+
+// handleOperatorKeysRead records that the operators' keys, as delivered by the events before, are
+// current.
+func (s *State) handleOperatorKeysRead(ev OperatorKeysRead, now time.Time) {
+	p := &s.OperatorKeys.Polling
+	nextAt := now.Add(operatorBatchInterval)
+	switch {
+	case s.OperatorKeys.ConfirmedAt.IsZero():
+		nextAt = now.Add(operatorStartupDelay)
+	case ev.Unchanged:
+		nextAt = later(now, p.StartedAt.Add(operatorBatchInterval)) // Now, unless the store returns without waiting.
+	}
+	s.confirmOperatorKeys(now)
+	p.Succeed(nextAt)
+	s.readOperatorKeysIfDue(now)
+}
+
+// handleOperatorKeysFailed schedules the next call: at once if RestartWatch has ended the last one,
+// later if it has failed.
+func (s *State) handleOperatorKeysFailed(ev OperatorKeysFailed, now time.Time) {
+	if ev.Interrupted {
+		s.OperatorKeys.Polling.Succeed(now)
+		s.readOperatorKeysIfDue(now)
+		return
+	}
+	s.OperatorKeys.Polling.Fail(maxOperatorRetryDelay, now)
+	s.markStoreDown(StoreFailed{Call: "operator_keys", Detail: ev.Detail})
+}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -28,21 +28,19 @@
 
 // PeerStatus is the periodic status message of a router to its peers.
 type PeerStatus struct {
-	From                 string               `msgpack:"f"`
-	Address              string               `msgpack:"p,omitempty"` // Where other routers reach the sender; set only in a large fleet.
-	Domain               string               `msgpack:"d"`
-	Start                int64                `msgpack:"s"`           // Start time of the sender, which identifies its incarnation.
-	InFlight             map[ServerRef]int    `msgpack:"l,omitempty"` // Nonzero numbers of requests in flight; omitted in a large fleet.
-	PartServers          map[uint64]ServerRef `msgpack:"k,omitempty"` // Server that last read a prompt part, by part; omitted in a large fleet.
-	Crashes              *CrashNews           `msgpack:"cr,omitempty"`
-	Rates                []RateReport         `msgpack:"rl,omitempty"` // Request rates that servers have named.
-	ConfigVersion        int64                `msgpack:"v"`
-	RosterRevision       uint64               `msgpack:"r"`
-	RosterHash           uint64               `msgpack:"h"`
-	RosterAgeMs          int64                `msgpack:"a"`
-	IsRosterStable       bool                 `msgpack:"st,omitempty"` // The server list has been up to date for a while.
-	OutOfServiceDomains  []string             `msgpack:"o,omitempty"`
-	OutOfServiceRevision uint64               `msgpack:"or"`
+	From           string               `msgpack:"f"`
+	Address        string               `msgpack:"p,omitempty"` // Where other routers reach the sender; set only in a large fleet.
+	Domain         string               `msgpack:"d"`
+	Start          int64                `msgpack:"s"`           // Start time of the sender, which identifies its incarnation.
+	InFlight       map[ServerRef]int    `msgpack:"l,omitempty"` // Nonzero numbers of requests in flight; omitted in a large fleet.
+	PartServers    map[uint64]ServerRef `msgpack:"k,omitempty"` // Server that last read a prompt part, by part; omitted in a large fleet.
+	Crashes        *CrashNews           `msgpack:"cr,omitempty"`
+	Rates          []RateReport         `msgpack:"rl,omitempty"` // Request rates that servers have named.
+	OperatorNews   `msgpack:",inline"`
+	RosterRevision uint64 `msgpack:"r"`
+	RosterHash     uint64 `msgpack:"h"`
+	RosterAgeMs    int64  `msgpack:"a"`
+	IsRosterStable bool   `msgpack:"st,omitempty"` // The server list has been up to date for a while.
 }
 
 // SyncRequest asks a peer for its configuration, its server list or both.
@@ -165,7 +163,7 @@
 	}
 	s.mergeCrashes(status.Crashes, now)
 	s.mergeRates(status.Rates, now)
-	s.setOutOfServiceDomains(status.OutOfServiceDomains, status.OutOfServiceRevision)
+	s.mergeOperatorNews(status.From, &status.OperatorNews, now)
 	s.syncWithPeer(status, now)
 }
 
@@ -177,15 +175,10 @@
 	}
 }
 
-// syncWithPeer confirms this router's server list if the peer has the same one, and requests
-// the peer's configuration or server list if it is newer. It ends the grace period if the peer
-// could reach the store throughout.
+// syncWithPeer confirms this router's server list if the peer has the same one, and requests the
+// peer's list if it is newer. It ends the grace period if the peer could reach the store throughout.
 func (s *State) syncWithPeer(status *PeerStatus, now time.Time) {
 	p := &s.Peers
-	if (s.Config == nil || status.ConfigVersion > s.Config.Version) && status.ConfigVersion > 0 && now.Sub(p.ConfigRequestedAt) >= syncRetryInterval {
-		p.ConfigRequestedAt = now
-		s.emit(SendToPeers{To: status.From, Message: &SyncRequest{From: s.Settings.RouterName, WantsConfig: true}})
-	}
 	listedAt := now.Add(-time.Duration(status.RosterAgeMs) * time.Millisecond)
 	if status.IsRosterStable {
 		s.Roster.GraceEndsAt = time.Time{} // The store was reachable throughout, so a server missing from the list is gone.
@@ -267,10 +260,7 @@
 	status := PeerStatus{
 		From: s.Settings.RouterName, Domain: s.Settings.Domain, Start: s.Settings.Start, RosterHash: s.Roster.Hash,
 		RosterRevision: s.Roster.Revision, RosterAgeMs: now.Sub(s.Roster.ListedAt).Milliseconds(),
-		OutOfServiceDomains: sortedKeys(s.Roster.OutOfServiceDomains), OutOfServiceRevision: s.Roster.OutOfServiceRevision,
-	}
-	if s.Config != nil {
-		status.ConfigVersion = s.Config.Version
+		OperatorNews: s.operatorNews(now),
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
 	if s.Membership.IsLarge() {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -65,6 +65,7 @@
 	Membership        Membership
 	Peers             Peers
 	ServerListPolling ServerListPolling
+	OperatorKeys      OperatorKeys
 	FleetLoad         FleetLoad
 	Shutdown          Shutdown
 	IsReady           bool
@@ -124,13 +125,18 @@
 func (s *State) handlePlatformEvent(ev Event, now time.Time) {
 	switch ev := ev.(type) {
 	case ConfigReceived:
-		s.handleConfigReceived(ev.Config)
+		s.handleConfigReceived(ev.Config, now)
 	case ServersListed:
 		s.markStoreUp()
 		s.handleServersListed(ev, now)
 	case DomainsOutOfServiceListed:
 		s.markStoreUp()
 		s.setOutOfServiceDomains(ev.Domains, ev.Revision)
+	case OperatorKeysRead:
+		s.markStoreUp()
+		s.handleOperatorKeysRead(ev, now)
+	case OperatorKeysFailed:
+		s.handleOperatorKeysFailed(ev, now)
 	case StoreFailed:
 		s.markStoreDown(ev)
 	case RoutersListed:
@@ -158,13 +164,16 @@
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 // handleConfigReceived activates a configuration with a higher version than the active one.
-func (s *State) handleConfigReceived(config *Config) {
+func (s *State) handleConfigReceived(config *Config, now time.Time) {
 	if s.Config != nil && config.Version <= s.Config.Version {
 		return
 	}
 	s.Config = config
 	s.emit(PublishConfig{Config: config})
 	s.emit(LogRecord{Event: "configuration", Detail: "in force", ConfigVersion: config.Version})
+	if s.Membership.IsLarge() && s.isReader(now) {
+		s.sendStatusToDomain(now)
+	}
 }
 
 func (s *State) setOutOfServiceDomains(domains []string, revision uint64) {
@@ -211,7 +220,7 @@
 // updateTimer requests a timer for the next task if its time has changed.
 func (s *State) updateTimer(now time.Time) {
 	next := s.Peers.NextStatusTime()
-	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.FleetLoad.NextAt, s.Membership.NextListAt} {
+	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.FleetLoad.NextAt, s.Membership.NextListAt} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
@@ -230,6 +239,7 @@
 	s.sendStatusIfDue(now)
 	s.collectLoadsIfDue(now)
 	s.listServersIfDue(now)
+	s.readOperatorKeysIfDue(now)
 }
 
 func (s *State) serverLoad(id ServerID) *ServerLoad {
--- a/dottereltack/dtexplain/explanation.go
+++ b/dottereltack/dtexplain/explanation.go
@@ -53,11 +53,13 @@
 	{"refused no_site", "the router had no configuration yet; the request was not run"},
 	{"refused no_route", "the configuration in force has no matching route"},
 	{"refused unknown_key", "the configuration in force does not contain the API key"},
-	{"refused no_server", "no server of the service was available (none listed, or all draining, out of service or cold); the request was not run"},
+	{"refused no_server", "no server of the service was available (none listed, or all draining, leaving or out of service); the request was not run"},
 	{"refused busy", "the servers that were tried reported that they did not run the request"},
 	{"refused retry_budget", "a retry would have exceeded the fleet's retry budget"},
 	{"refused crashes_servers", "the request had crashed the servers that ran it"},
 	{"refused server_limit", "all servers of the service were at the request rates that they had named; the request was not run"},
+	{"refused server_backoff", "all servers of the service had asked this router for a pause; the request was not run"},
+	{"refused cold_servers", "all servers of the service were cold and had been sent what they can handle; the request was not run"},
 	{"refused stopping", "the router was shutting down; the request was not run"},
 	{"refused expired", "the request timed out before the server responded"},
 	{"refused server_lost", "the connection to the server was lost; the request was not retried, as it may have run"},
@@ -134,6 +136,10 @@
 		if peers[line.Peer] {
 			return "server " + line.Peer
 		}
+	case "server_leaving", "server_backoff", "server_limit":
+		if peers[line.Peer] {
+			return line.Step + " " + line.Peer
+		}
 	}
 	return ""
 }
--- a/dottereltack/dtmesh/fuzz_test.go
+++ b/dottereltack/dtmesh/fuzz_test.go
@@ -11,7 +11,7 @@
 // FuzzDecode checks that no message of a peer ends the router, whatever it holds.
 func FuzzDecode(f *testing.F) {
 	for _, message := range []dtdispatch.PeerMessage{
-		&dtdispatch.PeerStatus{From: "r2", Address: "10.0.0.2:1", Domain: "d1", Start: 1, RosterAgeMs: -1 << 62, OutOfServiceDomains: []string{"d2"}, OutOfServiceRevision: 4},
+		&dtdispatch.PeerStatus{From: "r2", Address: "10.0.0.2:1", Domain: "d1", Start: 1, RosterAgeMs: -1 << 62, OperatorNews: dtdispatch.OperatorNews{OutOfServiceDomains: []string{"d2"}, OutOfServiceRevision: 4, AgeMs: -1}},
 		&dtdispatch.SyncRequest{From: "r2", WantsConfig: true, WantsRoster: true},
 		&dtdispatch.ConfigReply{Source: []byte("{")},
 		&dtdispatch.RosterReply{Servers: []dtdispatch.Server{{ID: "s1", Service: "a", Address: "10.0.0.1:0", Slots: -1}}, Revision: 7},
--- a/dottereltack/dtmesh/mesh_test.go
+++ b/dottereltack/dtmesh/mesh_test.go
@@ -55,7 +55,7 @@
 	}
 	rates := []dtdispatch.RateReport{{Server: 7, Limit: dtdispatch.RateLimit{PerSecond: 2.5, IsSet: true}, AgeMs: 8}}
 	messages := []dtdispatch.PeerMessage{
-		&dtdispatch.PeerStatus{From: "a", Address: "1:3", Domain: "d", Start: 5, InFlight: loads, Crashes: crashes, Rates: rates, ConfigVersion: 7, RosterRevision: 8, RosterHash: 1 << 63, RosterAgeMs: 9, OutOfServiceDomains: []string{"x"}, OutOfServiceRevision: 10},
+		&dtdispatch.PeerStatus{From: "a", Address: "1:3", Domain: "d", Start: 5, InFlight: loads, Crashes: crashes, Rates: rates, OperatorNews: dtdispatch.OperatorNews{ConfigVersion: 7, OutOfServiceDomains: []string{"x"}, OutOfServiceRevision: 10, AgeMs: 11}, RosterRevision: 8, RosterHash: 1 << 63, RosterAgeMs: 9},
 		&dtdispatch.SyncRequest{From: "a", WantsConfig: true, WantsRoster: true},
 		&dtdispatch.ConfigReply{Source: []byte("text")},
 		&dtdispatch.RosterReply{Servers: []dtdispatch.Server{{ID: "s1", Service: "a", Address: "1:2", ColdFor: time.Second, Draining: true, Seq: 4, Start: 5}}, Revision: 3, AgeMs: 4},
--- a/dottereltack/dtnode/harness_test.go
+++ b/dottereltack/dtnode/harness_test.go
@@ -19,7 +19,8 @@
 )
 
 // dialect is a minimal dtrelay.Dialect: X-Id is the request ID, X-Not-Run marks a request
-// that the server did not run and X-Signed marks a response signed by the server.
+// that the server did not run, X-Signed marks a response signed by the server, X-Leaving one of a
+// server that is leaving, and X-Pause is the pause that a server asks for.
 type dialect struct{}
 
 func (dialect) ParseRequest(h *dtrelay.RequestHead) dtrelay.RequestInfo {
@@ -31,7 +32,10 @@
 }
 
 func (dialect) ParseResponse(h http.Header) dtrelay.ResponseInfo {
-	return dtrelay.ResponseInfo{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != ""}
+	pause, _ := time.ParseDuration(h.Get("X-Pause"))
+	return dtrelay.ResponseInfo{
+		ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", Leaving: h.Get("X-Leaving") != "", RetryAfter: pause,
+	}
 }
 
 func (dialect) RefusalFields(id string, retryAfter time.Duration) []dtrelay.HeaderField {
@@ -44,8 +48,12 @@
 
 func (dialect) ListRouters() {}
 
+func (dialect) ReadOperatorKeys(time.Duration) {}
+
 func (dialect) RestartWatch() {}
 
+func (dialect) Close() {}
+
 // simulatedServer is a backend server whose responses are written by a function.
 type simulatedServer struct {
 	mu           sync.Mutex
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -25,12 +25,14 @@
 	Decode(source []byte) (*dtdispatch.Config, error)
 }
 
-// lister reads lists from the store and posts the results or the failure as events;
-// RestartWatch must not block.
+// lister reads lists and the operators' keys from the store and posts the results or the failure as
+// events; RestartWatch must not block, and Close ends all calls.
 type lister interface {
 	ListServers(wait time.Duration)
 	ListRouters()
+	ReadOperatorKeys(wait time.Duration)
 	RestartWatch()
+	Close()
 }
 
 // Settings configures a node.
@@ -114,6 +116,7 @@
 	n.Relay.Close()
 	n.Mesh.Close()
 	n.cancel()
+	n.lister.Close()
 	n.wg.Wait()
 	return abandoned
 }
@@ -159,6 +162,8 @@
 		n.wg.Go(func() { n.lister.ListServers(e.Wait) })
 	case dtdispatch.ListRouters:
 		n.wg.Go(n.lister.ListRouters)
+	case dtdispatch.ReadOperatorKeys:
+		n.wg.Go(func() { n.lister.ReadOperatorKeys(e.Wait) })
 	case dtdispatch.RestartWatch:
 		n.lister.RestartWatch()
 	case dtdispatch.SetPeerLinks:
