a router that was paused asks what it has missed before it serves

Cause: after a freeze of the process or a suspension of the host, which the steady clock does not count, a router went by the configuration, the keys and the list of servers from before; with the operators' keys heard from readers, also by the age of what it had heard. Change: the loop reports a gap of wall time of over two seconds between two steps, which its timer never leaves otherwise; the reducer then discards the age of its knowledge, asks the store at once, and holds new requests until it has heard, for half a second at most, so that a router without a store serves on.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -154,6 +154,7 @@
 	ReasonServerLimit                 // The servers accept no more requests per second.
 	ReasonServerBackoff               // The servers have asked this router for a pause.
 	ReasonColdServers                 // The servers are cold and have been sent what they bear.
+	ReasonResuming                    // The router has still to hear what it has missed in a pause.
 )
 
 // String returns the name of the reason in logs and metrics.
@@ -161,7 +162,7 @@
 	return [...]string{
 		"no_site", "no_route", "unknown_key", "no_server", "busy", "retry_budget",
 		"crashes_servers", "stopping", "expired", "server_lost", "caller_left",
-		"server_limit", "server_backoff", "cold_servers",
+		"server_limit", "server_backoff", "cold_servers", "resuming",
 	}[r]
 }
 
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -152,6 +152,9 @@
 // TimerFired reports that the time of the last SetTimer effect has been reached.
 type TimerFired struct{}
 
+// Paused reports that the process or its host has stood still, for Gap since the last event.
+type Paused struct{ Gap time.Duration }
+
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
 
@@ -170,4 +173,5 @@
 func (PeerMessageReceived) isEvent()       {}
 func (SettingsChanged) isEvent()           {}
 func (TimerFired) isEvent()                {}
+func (Paused) isEvent()                    {}
 func (StopRequested) isEvent()             {}
--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -41,7 +41,7 @@
 	if !s.isReader(now) {
 		due = s.Roster.ListedAt.Add(s.serverListWait() + readerGracePeriod)
 	}
-	if s.Roster.ListedAt.IsZero() {
+	if s.Roster.ListedAt.IsZero() || s.isResuming(now) && !s.Roster.ListedAt.After(s.Resume.ResumedAt) {
 		return s.ServerListPolling.RetryAt
 	}
 	return later(due, s.ServerListPolling.RetryAt)
@@ -64,7 +64,7 @@
 	}
 	s.ServerListPolling.Begin(now)
 	wait := s.serverListWait()
-	if now.Sub(s.Roster.ListedAt) > wait {
+	if now.Sub(s.Roster.ListedAt) > wait || s.isResuming(now) {
 		wait = 0 // The list is late: waiting longer would make it look like an outage of the store.
 	}
 	s.emit(ListServers{Wait: wait})
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -89,6 +89,9 @@
 	if p.InProgress {
 		return time.Time{}
 	}
+	if s.isResuming(now) {
+		return p.RetryAt
+	}
 	due := p.NextAt
 	if s.followsReader(now) {
 		due = later(due, s.OperatorKeys.ConfirmedAt.Add(s.maxOperatorAge()+s.operatorReadOffset()))
@@ -124,6 +127,9 @@
 	if s.Membership.IsLarge() && s.isReader(now) {
 		wait = s.readerWait()
 	}
+	if s.isResuming(now) {
+		wait = 0
+	}
 	s.emit(ReadOperatorKeys{Wait: wait})
 }
 
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -66,6 +66,7 @@
 	Peers             Peers
 	ServerListPolling ServerListPolling
 	OperatorKeys      OperatorKeys
+	Resume            Resume
 	FleetLoad         FleetLoad
 	Shutdown          Shutdown
 	IsReady           bool
@@ -100,6 +101,10 @@
 	s.effects = s.effects[:0]
 	switch ev := ev.(type) {
 	case RequestArrived:
+		if s.isResuming(now) {
+			s.hold(ev, now)
+			break
+		}
 		s.handleRequestArrived(ev, now)
 	case ResponseStarted:
 		s.handleResponseStarted(ev, now)
@@ -111,11 +116,14 @@
 		s.handlePeerMessage(ev.Message, now)
 	case StopRequested:
 		s.handleStopRequested(now)
+	case Paused:
+		s.handlePaused(ev, now)
 	case TimerFired:
 		s.handleTimerFired(now)
 	default:
 		s.handlePlatformEvent(ev, now)
 	}
+	s.finishResume(now)
 	s.updateReadiness()
 	s.updateTimer(now)
 	return s.effects
@@ -220,7 +228,7 @@
 // updateTimer requests a timer for the next task if its time has changed.
 func (s *State) updateTimer(now time.Time) {
 	next := s.Peers.NextStatusTime()
-	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.FleetLoad.NextAt, s.Membership.NextListAt} {
+	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.FleetLoad.NextAt, s.Membership.NextListAt} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/dottereltack/dtloop/loop.go
+++ b/dottereltack/dtloop/loop.go
@@ -27,6 +27,8 @@
 type TimerBinding[E, F any] struct {
 	Deadline func(F) (time.Time, bool) // Returns the time of a set-timer effect, or false for other effects.
 	Event    E                         // Event to process at that time.
+	MaxIdle  time.Duration             // Longest time between two events unless the process is paused; zero if there is none.
+	Paused   func(time.Duration) E     // Returns the event to process first after a longer time.
 }
 
 // Loop applies events of type E to a state of type S and performs the resulting effects of
@@ -39,6 +41,7 @@
 	calls    chan func(S)
 	done     chan struct{}
 	timer    *time.Timer
+	lastStep time.Time // Wall time of the last step, which counts the suspension of the host.
 }
 
 // New returns a loop that queues up to capacity new requests and, separately, up to
@@ -140,6 +143,17 @@
 
 func (l *Loop[S, E, F]) step(ev E, p performer[S, F]) {
 	now := time.Now()
+	wall := now.Round(0)
+	gap := wall.Sub(l.lastStep)
+	isPause := l.binding.MaxIdle > 0 && !l.lastStep.IsZero() && gap > l.binding.MaxIdle
+	l.lastStep = wall
+	if isPause {
+		l.apply(l.binding.Paused(gap), now, p)
+	}
+	l.apply(ev, now, p)
+}
+
+func (l *Loop[S, E, F]) apply(ev E, now time.Time, p performer[S, F]) {
 	for _, e := range l.state.Step(ev, now) {
 		if deadline, ok := l.binding.Deadline(e); ok {
 			l.timer.Reset(time.Until(deadline))
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -17,6 +17,10 @@
 	"github.com/dottereltack/dottereltack/dottereltack/dtrelay"
 )
 
+// maxIdleTime is the longest time between two steps of the reducer, whose timer fires more often,
+// unless the process is paused.
+const maxIdleTime = 2 * time.Second
+
 // requestQueueCapacity is the number of new requests that may wait for the reducer.
 const requestQueueCapacity = 512
 
@@ -71,7 +75,10 @@
 	n.Log = log.NewWithOptions(n.logWriter, log.Options{
 		ReportTimestamp: true, TimeFormat: dtlog.TimeFormat, Formatter: log.LogfmtFormatter,
 	}).With("router", settings.State.RouterName)
-	binding := dtloop.TimerBinding[dtdispatch.Event, dtdispatch.Effect]{Deadline: timerDeadline, Event: dtdispatch.TimerFired{}}
+	binding := dtloop.TimerBinding[dtdispatch.Event, dtdispatch.Effect]{
+		Deadline: timerDeadline, Event: dtdispatch.TimerFired{},
+		MaxIdle: maxIdleTime, Paused: func(gap time.Duration) dtdispatch.Event { return dtdispatch.Paused{Gap: gap} },
+	}
 	n.Loop = dtloop.New(dtdispatch.New(settings.State, now), binding, requestQueueCapacity)
 	var err error
 	n.Relay, err = dtrelay.New(settings.CallersAddress, d, n.Loop)
