--- a/core/dtdispatch/availability.go
+++ b/core/dtdispatch/availability.go
@@ -5,13 +5,8 @@
 	"time"
 )
 
-// Parameters of what servers announce in their responses.
-const (
-	maxServerBackoff    = 5 * time.Minute        // Longer pauses that a server asks for are cut to this.
-	noticeRetention     = 10 * time.Minute       // Time for which the notice of a server that is no longer listed is kept.
-	minBlockedBackoff   = 100 * time.Millisecond // Shortest Retry-After while no server is available.
-	incarnationLeniency = 2 * time.Second        // Clocks of hosts may differ by this much.
-)
+// minBlockedBackoff is the shortest Retry-After while no server is available.
+const minBlockedBackoff = 100 * time.Millisecond
 
 // Block is why a server may not be sent a request.
 type Block uint8
@@ -28,34 +23,12 @@
 	BlockRate             // This router has used up its share of the rate that the server has named.
 )
 
-// String returns the name of the block in logs.
-func (b Block) String() string {
-	return [...]string{"none", "draining", "own_address", "domain_out", "leaving", "backoff", "cold", "rate"}[b]
-}
-
 // Availability says whether a server may be sent a request and, if not, until when.
 type Availability struct {
 	Block Block
 	Until time.Time // Zero if the end of the block is unknown.
 }
 
-// ServerNotice is what a server has announced about itself in responses to this router.
-type ServerNotice struct {
-	Start        int64     // Incarnation of the server, in Unix milliseconds; zero if unknown.
-	ReceivedAt   time.Time // Time of the last announcement.
-	Leaving      bool
-	BackoffUntil time.Time // No requests are wanted until then.
-}
-
-// appliesTo reports whether the notice may have come from the listed incarnation of a server. An
-// entry that is older than the notice does not end it, because lists may lag behind responses.
-func (n *ServerNotice) appliesTo(server *Server) bool {
-	if n.Start == server.Start || n.Start == 0 || server.Start == 0 {
-		return true
-	}
-	return server.Start < n.ReceivedAt.Add(-incarnationLeniency).UnixMilli()
-}
-
 // availability returns whether a server may be sent a request. It holds for any request: what one
 // request has met at the server, and whether the server has failed lately, are decided elsewhere.
 func (s *State) availability(server *Server, now time.Time) Availability {
@@ -85,20 +58,6 @@
 	return true
 }
 
-// announcedAvailability applies what the server has announced in its responses.
-func (s *State) announcedAvailability(server *Server, now time.Time) Availability {
-	notice := s.Notices[server.ID]
-	switch {
-	case notice == nil || !notice.appliesTo(server):
-		return Availability{}
-	case notice.Leaving:
-		return Availability{Block: BlockLeaving}
-	case now.Before(notice.BackoffUntil):
-		return Availability{Block: BlockBackoff, Until: notice.BackoffUntil}
-	}
-	return Availability{}
-}
-
 // coldAvailability applies this router's share of the requests that a cold server may get. A warm
 // server has no such limit.
 func (s *State) coldAvailability(server *Server, now time.Time) Availability {
@@ -166,45 +125,11 @@
 	return otherwise
 }
 
-// blockedRetryAfter returns how long the caller of a request that no server may be sent is to wait.
-func (s *State) blockedRetryAfter(r *Request, now time.Time) time.Duration {
-	return max(s.nextAvailability(r, now).Until.Sub(now), minBlockedBackoff)
-}
-
-// recordNotice applies what a server has announced in a response to a request that was sent to the
-// given incarnation.
-func (s *State) recordNotice(server *Server, report *ServerReport, requestID string) {
-	if !report.Leaving && report.Backoff <= 0 {
-		return
-	}
-	notice := s.Notices[server.ID]
-	if notice == nil || !notice.appliesTo(server) {
-		notice = &ServerNotice{}
-		s.Notices[server.ID] = notice
-	}
-	notice.Start, notice.ReceivedAt = server.Start, report.ReceivedAt
-	if report.Leaving && !notice.Leaving {
-		notice.Leaving = true
-		s.emit(LogRecord{Event: "server_leaving", RequestID: requestID, Subject: string(server.ID)})
-	}
-	until := report.ReceivedAt.Add(min(report.Backoff, maxServerBackoff))
-	if report.Backoff <= 0 || !until.After(notice.BackoffUntil) {
-		return
-	}
-	if !report.ReceivedAt.Before(notice.BackoffUntil) {
-		s.emit(LogRecord{Event: "server_backoff", RequestID: requestID, Subject: string(server.ID), Backoff: report.Backoff})
-	}
-	notice.BackoffUntil = until
-}
-
-// forgetNotices removes the notices of earlier incarnations and of servers that left long ago.
-func (s *State) forgetNotices(now time.Time) {
-	for id, notice := range s.Notices {
-		server := s.Roster.Servers[id]
-		isOver := server != nil && !notice.appliesTo(server)
-		isOld := server == nil && now.Sub(notice.ReceivedAt) > noticeRetention
-		if isOver || isOld {
-			delete(s.Notices, id)
-		}
+// retryAfter returns how long the caller of a request that is refused for a reason is to wait.
+func (s *State) retryAfter(r *Request, reason Reason, now time.Time) time.Duration {
+	switch reason {
+	case ReasonServerBackoff, ReasonColdServers, ReasonServerLimit:
+		return max(s.nextAvailability(r, now).Until.Sub(now), minBlockedBackoff)
 	}
+	return retryAfterBusy
 }
--- a/core/dtdispatch/fleet_test.go
+++ b/core/dtdispatch/fleet_test.go
@@ -4,12 +4,10 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
@@ -76,157 +74,6 @@
 	})
 }
 
-// fleet connects reducers: it delivers their messages along the links that they requested
-// and simulates the store.
-type fleet struct {
-	links        map[string]map[string]string // By router: link addresses by peer name.
-	messagesSent map[string]int               // By router.
-	bytesSent    map[string]int               // Encoded size of the messages sent, by router.
-	routers      map[string]*router
-	listCalls    map[string]int
-	readRevision map[string]uint64    // Revision of the last server list read, by router.
-	waitingUntil map[string]time.Time // Time when each pending ListServers call must return, by router.
-	store        []dtdispatch.Server  // Servers listed in the store; nil while the store is down.
-	revision     uint64
-	down         map[string]bool // Routers that have crashed.
-	cores        map[string]float64
-	rejected     map[string]bool // Routers whose calls the store rejects.
-	operators    operatorStore
-	isolated     map[string]bool // Routers whose messages, from and to, are lost.
-}
-
-// operatorStore holds the operators' keys of a simulated store.
-type operatorStore struct {
-	config       *dtdispatch.Config
-	outOfService []string
-	revision     uint64
-	calls        map[string]int       // By router.
-	readRevision map[string]uint64    // Revision that each router has read.
-	waitingUntil map[string]time.Time // Time when each pending call must return, by router.
-}
-
-// completeOperatorCall completes the pending ReadOperatorKeys call of a router if the keys have
-// changed, the store does not respond to the router or the wait is over.
-func (f *fleet) completeOperatorCall(name string) {
-	r, o := f.routers[name], &f.operators
-	until, waits := o.waitingUntil[name]
-	unchanged := o.readRevision[name] == o.revision
-	unavailable := f.store == nil || f.rejected[name]
-	if !waits || !unavailable && unchanged && r.now.Before(until) {
-		return
-	}
-	delete(o.waitingUntil, name)
-	if unavailable {
-		f.perform(name, r.step(dtdispatch.OperatorKeysFailed{Detail: "down"}))
-		return
-	}
-	if !unchanged {
-		o.readRevision[name] = o.revision
-		f.perform(name, r.step(dtdispatch.ConfigReceived{Config: o.config}))
-		f.perform(name, r.step(dtdispatch.DomainsOutOfServiceListed{Domains: o.outOfService, Revision: o.revision}))
-	}
-	f.perform(name, r.step(dtdispatch.OperatorKeysRead{Unchanged: unchanged}))
-}
-
-// newFleet returns a fleet of routers in one failure domain.
-func newFleet(t *testing.T, names ...string) *fleet {
-	t.Helper()
-	f := &fleet{readRevision: map[string]uint64{}, waitingUntil: map[string]time.Time{}, links: map[string]map[string]string{}, messagesSent: map[string]int{}, bytesSent: map[string]int{}, routers: map[string]*router{}, listCalls: map[string]int{}, store: testServers(4), revision: 1, down: map[string]bool{}}
-	f.operators = operatorStore{config: testConfig(1), revision: 1, calls: map[string]int{}, readRevision: map[string]uint64{}, waitingUntil: map[string]time.Time{}}
-	for _, name := range names {
-		f.routers[name] = newEmptyRouter(t, name)
-	}
-	return f
-}
-
-// run advances the clock of the named routers by d.
-func (f *fleet) run(d time.Duration, names ...string) {
-	const tick = 50 * time.Millisecond
-	for range int(d / tick) {
-		for _, name := range names {
-			if r := f.routers[name]; !f.down[name] {
-				f.perform(name, r.advance(tick))
-				f.completeListCall(name)
-				f.completeOperatorCall(name)
-			}
-		}
-	}
-}
-
-func (f *fleet) perform(from string, effects []dtdispatch.Effect) {
-	for _, e := range effects {
-		switch e := e.(type) {
-		case dtdispatch.ListServers:
-			f.listCalls[from]++
-			f.waitingUntil[from] = f.routers[from].now.Add(e.Wait)
-			f.completeListCall(from)
-		case dtdispatch.ReadOperatorKeys:
-			f.operators.calls[from]++
-			f.operators.waitingUntil[from] = f.routers[from].now.Add(e.Wait)
-			f.completeOperatorCall(from)
-		case dtdispatch.DecodeConfig:
-			version, err := strconv.ParseInt(string(e.Source), 10, 64)
-			f.routers[from].Expect(err).NotTo(HaveOccurred())
-			f.perform(from, f.routers[from].step(dtdispatch.ConfigReceived{Config: testConfig(version)}))
-		case dtdispatch.ListRouters:
-			if f.store != nil {
-				f.perform(from, f.routers[from].step(f.routersListed()))
-			}
-		case dtdispatch.SetPeerLinks:
-			f.links[from] = e.Addresses
-		case dtdispatch.SendToPeers:
-			f.sendMessage(from, &e)
-		}
-	}
-}
-
-// completeListCall completes the pending ListServers call of a router if the list has changed,
-// the store is down or the wait is over.
-func (f *fleet) completeListCall(name string) {
-	r := f.routers[name]
-	until, waits := f.waitingUntil[name]
-	unchanged := f.readRevision[name] == f.revision
-	unavailable := f.store == nil || f.rejected[name]
-	if !waits || !unavailable && unchanged && r.now.Before(until) {
-		return
-	}
-	delete(f.waitingUntil, name)
-	if unavailable {
-		f.perform(name, r.step(dtdispatch.ListServersFailed{Detail: "down"}))
-		return
-	}
-	f.readRevision[name] = f.revision
-	list := append([]dtdispatch.Server(nil), f.store...)
-	f.perform(name, r.step(dtdispatch.ServersListed{Servers: list, Revision: f.revision, Unchanged: unchanged}))
-}
-
-// routersListed returns the store's list of routers: all that have not crashed.
-func (f *fleet) routersListed() dtdispatch.RoutersListed {
-	ev := dtdispatch.RoutersListed{}
-	for name, r := range f.routers {
-		if !f.down[name] {
-			ev.Routers = append(ev.Routers, dtdispatch.Router{Name: name, Address: name + ":1", Domain: r.state.Settings.Domain, Cores: f.cores[name]})
-		}
-	}
-	return ev
-}
-
-// sendMessage delivers a message along the links of a router.
-func (f *fleet) sendMessage(from string, e *dtdispatch.SendToPeers) {
-	encoded, err := msgpack.Marshal(e.Message)
-	f.routers[from].Expect(err).NotTo(HaveOccurred())
-	for name := range f.links[from] {
-		if e.To != "" && e.To != name {
-			continue
-		}
-		f.messagesSent[from]++
-		f.bytesSent[from] += len(encoded)
-		if !f.down[name] && !f.isolated[name] && !f.isolated[from] {
-			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: e.Message}))
-		}
-	}
-}
-
 func TestOneRouterPerDomainReadsTheList(t *testing.T) {
 	g := NewWithT(t)
 	names := []string{"r1", "r2", "r3", "r4"}
@@ -262,21 +109,6 @@
 	}
 }
 
-// newLargeFleet returns n routers in three failure domains, after their links have been set up.
-func newLargeFleet(t *testing.T, n int) (*fleet, []string) {
-	t.Helper()
-	f := newFleet(t)
-	var names []string
-	for i := range n {
-		name := fmt.Sprintf("r%03d", i)
-		names = append(names, name)
-		f.routers[name] = newRouterInDomain(t, name, fmt.Sprintf("d%d", i%3))
-		f.routers[name].step(dtdispatch.ConfigReceived{Config: testConfig(1)})
-	}
-	f.run(6*time.Second, names...)
-	return f, names
-}
-
 func TestLargeFleetCollectsItsLoads(t *testing.T) {
 	g := NewWithT(t)
 	f, names := newLargeFleet(t, 48)
