routers of a large fleet that follow a reader call a store that rejects them less often

Change: followers double the delay up to 4 s; the readers keep theirs, and tell when the store is back.

--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -23,6 +23,7 @@
 	// of the store and sends the list to the others.
 	maxReaderRetryDelay    = 500 * time.Millisecond
 	maxNonReaderRetryDelay = 2 * time.Second
+	maxFollowerRetryDelay  = 4 * time.Second // In a large fleet, whose calls would add up while the store rejects them.
 )
 
 // ServerListPolling is the state of reading the server list from the store.
@@ -111,8 +112,11 @@
 // scheduleServerListRetry schedules the next call after a failed one, with exponential backoff.
 func (s *State) scheduleServerListRetry(now time.Time) {
 	maxDelay := maxNonReaderRetryDelay
-	if s.isReader(now) {
+	switch {
+	case s.isReader(now):
 		maxDelay = maxReaderRetryDelay
+	case s.Membership.IsLarge():
+		maxDelay = maxFollowerRetryDelay
 	}
 	s.ServerListPolling.Fail(maxDelay, now)
 }
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -157,6 +157,10 @@
 		s.readOperatorKeysIfDue(now)
 		return
 	}
-	s.OperatorKeys.Polling.Fail(maxOperatorRetryDelay, now)
+	maxDelay := maxOperatorRetryDelay
+	if s.followsReader(now) {
+		maxDelay = maxFollowerRetryDelay
+	}
+	s.OperatorKeys.Polling.Fail(maxDelay, now)
 	s.markStoreDown(StoreFailed{Call: "operator_keys", Detail: ev.Detail})
 }
--- a/core/dtdispatch/operatorkeys_test.go
+++ b/core/dtdispatch/operatorkeys_test.go
@@ -167,3 +167,26 @@
 	r.step(dtdispatch.OperatorKeysRead{})
 	r.Expect(r.state.IsStoreDown).To(BeFalse())
 }
+
+// TestLargeFleetDuringAnOutage guards against hundreds of routers that each call a store that rejects
+// them again and again, and against routers that then hear late of a change after the outage.
+func TestLargeFleetDuringAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	f, names := newLargeFleet(t, 48)
+	f.run(4*time.Second, names...)
+	store := f.store
+	f.store = nil
+	f.listCalls = map[string]int{}
+	f.readersDuring(func() { f.run(10*time.Second, names...) })
+	total := 0
+	for _, name := range names {
+		total += f.listCalls[name] + f.operators.calls[name]
+	}
+	g.Expect(total).To(BeNumerically("<=", 3*(10*2+10+2)+45*2*6), "two and one a second by the readers; 0.25 s doubled up to 4 s is six calls of each kind by the others")
+	f.store = store
+	f.changeConfig()
+	f.run(operatorBound, names...)
+	for _, name := range names {
+		g.Expect(f.routers[name].state.Config.Version).To(BeEquivalentTo(2), name)
+	}
+}
