the spec of a paused router waits until its process stands still

The log of the paused router shows that it had read its caller's request and sent the claim to the platform before it stood still (its platform_PUT had timed out at the instant of the resume): SIGSTOP takes effect some time after it is sent. The answer is the one that docs/PROTOCOL.md promises for an order that another router has claimed. Change: Router.Pause returns once all threads of the process are stopped, so that the spec plays what it says; what it checks is unchanged.

--- a/dottereltack-load/dtfleet/router.go
+++ b/dottereltack-load/dtfleet/router.go
@@ -1,10 +1,14 @@
 package dtfleet
 
 import (
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtconfig"
 )
@@ -66,6 +70,46 @@
 	}
 }
 
+// Pause stops the router's process until it gets SIGCONT, and returns once all its threads stand
+// still; the signal alone takes effect some time after it is sent.
+func (r *Router) Pause() error {
+	const pollInterval, maxPolls = time.Millisecond, 2000
+	r.Signal(syscall.SIGSTOP)
+	for range maxPolls {
+		if isStopped(r.pid()) {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return fmt.Errorf("router %s did not stop", r.Name)
+}
+
+// pid returns the ID of the router's process, or 0 if there is none.
+func (r *Router) pid() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd == nil {
+		return 0
+	}
+	return r.cmd.Process.Pid
+}
+
+// isStopped reports whether all threads of a process have been stopped by a signal.
+func isStopped(pid int) bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		_, state, found := strings.Cut(string(text), ") ") // The state follows the name in parentheses.
+		if err != nil || !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // Kill kills the router's process.
 func (r *Router) Kill() { _, _ = r.signalAndWait(syscall.SIGKILL) }
 
--- a/dottereltack-load/dtfleet/scenarios_test.go
+++ b/dottereltack-load/dtfleet/scenarios_test.go
@@ -323,7 +323,7 @@
 		c := newCaller()
 		key := dtcaller.NewIdempotencyKey()
 		done := make(chan dtcaller.Result, 1)
-		f.Routers[0].Signal(syscall.SIGSTOP)
+		Expect(f.Routers[0].Pause()).To(Succeed())
 		go func() {
 			done <- c.CallService(f.Routers[0].Host.CallersAddress, "franchise-desk", "print", key, []byte("x"))
 		}()
