only delegates read the operators' keys for others; the others ask once at their start

At the start the readers too waited 2.5 s for their second call, so that every follower's knowledge became too old first and all asked. After the loss of all delegates of a domain each of its routers took itself for the reader, with short calls, until the list of routers is read again. Change: short calls are for routers that are delegates and so have others to tell; these do not wait at the start.

--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -8,7 +8,7 @@
 // themselves if it becomes too old for a change to be in force in time.
 const (
 	operatorWatchWait     = 20 * time.Second        // May be long because TCP keep-alive detects a dead connection sooner.
-	operatorStartupDelay  = 2500 * time.Millisecond // Between the first two calls; the fleet and its readers are known after it.
+	operatorStartupDelay  = 2500 * time.Millisecond // Between the first two calls of all but readers; the fleet is known after it.
 	operatorBatchInterval = 400 * time.Millisecond  // A burst of changes within this time takes one call.
 	maxOperatorRetryDelay = time.Second
 	readerWaitShare       = 0.25                   // Of the drain timeout, for which a reader's call waits.
@@ -21,6 +21,7 @@
 // OperatorKeys is the state of reading the operators' keys.
 type OperatorKeys struct {
 	Polling     Polling
+	FirstReadAt time.Time // Time of the first successful read.
 	ConfirmedAt time.Time // Time as of which the router's configuration and domains out of service are known to be current.
 }
 
@@ -93,6 +94,9 @@
 		return p.RetryAt
 	}
 	due := p.NextAt
+	if !s.confirmsForOthers(now) {
+		due = later(due, s.OperatorKeys.FirstReadAt.Add(operatorStartupDelay))
+	}
 	if s.followsReader(now) {
 		due = later(due, s.OperatorKeys.ConfirmedAt.Add(s.maxOperatorAge()+s.operatorReadOffset()))
 	}
@@ -123,14 +127,24 @@
 		return
 	}
 	s.OperatorKeys.Polling.Begin(now)
-	wait := operatorWatchWait
-	if s.Membership.IsLarge() && s.isReader(now) {
-		wait = s.readerWait()
-	}
-	if s.isResuming(now) {
-		wait = 0
+	s.emit(ReadOperatorKeys{Wait: s.operatorReadWait(now)})
+}
+
+// operatorReadWait returns how long the next call waits for a change.
+func (s *State) operatorReadWait(now time.Time) time.Duration {
+	switch {
+	case s.isResuming(now):
+		return 0
+	case s.confirmsForOthers(now):
+		return s.readerWait()
 	}
-	s.emit(ReadOperatorKeys{Wait: wait})
+	return operatorWatchWait
+}
+
+// confirmsForOthers reports whether other routers go by how old this router's knowledge is. A router
+// that has lost all delegates of its domain reads the keys for itself alone: it has no links to others.
+func (s *State) confirmsForOthers(now time.Time) bool {
+	return s.Membership.IsLarge() && s.isReader(now) && s.isDelegate(s.Settings.RouterName, s.Settings.Domain)
 }
 
 // handleOperatorKeysRead records that the operators' keys, as delivered by the events before, are
@@ -138,12 +152,12 @@
 func (s *State) handleOperatorKeysRead(ev OperatorKeysRead, now time.Time) {
 	p := &s.OperatorKeys.Polling
 	nextAt := now.Add(operatorBatchInterval)
-	switch {
-	case s.OperatorKeys.ConfirmedAt.IsZero():
-		nextAt = now.Add(operatorStartupDelay)
-	case ev.Unchanged:
+	if ev.Unchanged {
 		nextAt = later(now, p.StartedAt.Add(operatorBatchInterval)) // Now, unless the store returns without waiting.
 	}
+	if s.OperatorKeys.FirstReadAt.IsZero() {
+		s.OperatorKeys.FirstReadAt = now
+	}
 	s.confirmOperatorKeys(now)
 	p.Succeed(nextAt)
 	s.readOperatorKeysIfDue(now)
--- a/core/dtdispatch/operatorkeys_test.go
+++ b/core/dtdispatch/operatorkeys_test.go
@@ -12,6 +12,9 @@
 // operatorBound is the time within which a change by the operators must be in force.
 const operatorBound = 2 * time.Second
 
+// delegatesOfADomain is the number of routers of a large fleet's domain that have links to all others.
+const delegatesOfADomain = 3
+
 // changeConfig writes the next version of the configuration to the store.
 func (f *fleet) changeConfig() {
 	f.operators.config = testConfig(f.operators.config.Version + 1)
@@ -44,11 +47,17 @@
 	g := NewWithT(t)
 	f, names := newLargeFleet(t, 48)
 	f.run(4*time.Second, names...)
+	atStart := f.operators.calls
 	readers := f.readersDuring(func() { f.run(20*time.Second, names...) })
 	g.Expect(readers).To(HaveLen(3), "one in each failure domain")
 	for _, name := range readers {
 		g.Expect(f.operators.calls[name]).To(BeNumerically("<=", 2*20+1), "%s, two a second", name)
 	}
+	for _, name := range names {
+		if len(f.links[name]) <= delegatesOfADomain {
+			g.Expect(atStart[name]).To(Equal(1), "%s asks the store at its start only", name)
+		}
+	}
 	f.readersDuring(func() {
 		f.changeConfig()
 		f.run(operatorBound, names...)
@@ -190,3 +199,35 @@
 		g.Expect(f.routers[name].state.Config.Version).To(BeEquivalentTo(2), name)
 	}
 }
+
+// TestDelegatesOfADomainAreLost guards against a domain whose routers all take themselves for its reader,
+// since each has links to the delegates only, and ask the store as often as a reader does.
+func TestDelegatesOfADomainAreLost(t *testing.T) {
+	g := NewWithT(t)
+	f, names := newLargeFleet(t, 48)
+	longer := bounds
+	longer.DrainTimeout = 2 * operatorBound // A silent router is taken for the reader long before what was heard is too old.
+	for _, name := range names {
+		f.routers[name].step(dtdispatch.SettingsChanged{Bounds: longer})
+	}
+	f.run(4*time.Second, names...)
+	for _, name := range names {
+		if f.routers[name].state.Settings.Domain == "d0" && len(f.links[name]) > delegatesOfADomain {
+			f.down[name] = true // A delegate, which has links to all routers of its domain.
+		}
+	}
+	g.Expect(f.down).To(HaveLen(delegatesOfADomain))
+	running := f.runningNames(names)
+	f.run(1300*time.Millisecond, running...)                             // Longer than a silent router is taken for the reader.
+	f.readersDuring(func() { f.run(1900*time.Millisecond, running...) }) // Until the list of routers is read again.
+	for _, name := range running {
+		if f.routers[name].state.Settings.Domain == "d0" {
+			g.Expect(f.operators.calls[name]).To(BeNumerically("<=", 1), name)
+		}
+	}
+	f.changeConfig()
+	f.run(2*operatorBound, running...)
+	for _, name := range running {
+		g.Expect(f.routers[name].state.Config.Version).To(BeEquivalentTo(2), name)
+	}
+}
