--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -41,17 +41,27 @@
 	waitingUntil map[string]time.Time // Time when each pending call must return, by router.
 }
 
+// endCall ends the pending call of a router, if there is one, once something has changed, the store does
+// not respond to the router or the wait is over.
+func (f *fleet) endCall(name string, waitingUntil map[string]time.Time, unchanged bool) (ended, unavailable bool) {
+	until, waits := waitingUntil[name]
+	unavailable = f.store == nil || f.rejected[name]
+	if !waits || !unavailable && unchanged && f.routers[name].now.Before(until) {
+		return false, unavailable
+	}
+	delete(waitingUntil, name)
+	return true, unavailable
+}
+
 // completeOperatorCall completes the pending ReadOperatorKeys call of a router if the keys have
 // changed, the store does not respond to the router or the wait is over.
 func (f *fleet) completeOperatorCall(name string) {
 	r, o := f.routers[name], &f.operators
-	until, waits := o.waitingUntil[name]
 	unchanged := o.readRevision[name] == o.revision
-	unavailable := f.store == nil || f.rejected[name]
-	if !waits || !unavailable && unchanged && r.now.Before(until) {
+	ended, unavailable := f.endCall(name, o.waitingUntil, unchanged)
+	if !ended {
 		return
 	}
-	delete(o.waitingUntil, name)
 	if unavailable {
 		f.perform(name, r.step(dtdispatch.OperatorKeysFailed{Detail: "down"}))
 		return
@@ -120,13 +130,11 @@
 // the store is down or the wait is over.
 func (f *fleet) completeListCall(name string) {
 	r := f.routers[name]
-	until, waits := f.waitingUntil[name]
 	unchanged := f.readRevision[name] == f.revision
-	unavailable := f.store == nil || f.rejected[name]
-	if !waits || !unavailable && unchanged && r.now.Before(until) {
+	ended, unavailable := f.endCall(name, f.waitingUntil, unchanged)
+	if !ended {
 		return
 	}
-	delete(f.waitingUntil, name)
 	if unavailable {
 		f.perform(name, r.step(dtdispatch.ListServersFailed{Detail: "down"}))
 		return
