a planned stop does not cut a request whose first bytes have been read

Change: idle connections are not closed from outside; their wait for the next request ends by a deadline.

--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -83,14 +83,15 @@
 // connection. A caller that has just connected is about to send a request.
 const minCallerIdleTime = 300 * time.Millisecond
 
-// CloseIdleConnections closes the connections of callers that have had no request in flight
-// for minCallerIdleTime.
+// CloseIdleConnections has the connections of callers that have had no request in flight for
+// minCallerIdleTime closed: each stops waiting for the next request. A connection on which one has
+// begun to arrive serves it, as it is busy only from then on.
 func (r *Relay) CloseIdleConnections(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.callers {
 		if !c.busy && now.Sub(c.idleSince) >= minCallerIdleTime {
-			_ = c.Close()
+			_ = c.SetReadDeadline(now)
 		}
 	}
 }
