readers report as often in a large domain as in a small one

Cause: the test of the readers at 295 routers and a drain timeout of 2 s: with 98 routers a domain a status goes out each 1.5 s, so that what followers had heard became too old before the next one, and 36 of them asked the store during one change. Change: the interval of a reader's statuses is at most half of the one at which unchanged ones are repeated.

--- a/core/dtdispatch/operatorkeys_test.go
+++ b/core/dtdispatch/operatorkeys_test.go
@@ -1,6 +1,7 @@
 package dtdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,28 +45,32 @@
 }
 
 func TestLargeFleetReadsOperatorKeysThroughReaders(t *testing.T) {
-	g := NewWithT(t)
-	f, names := newLargeFleet(t, 48)
-	f.run(4*time.Second, names...)
-	atStart := f.operators.calls
-	readers := f.readersDuring(func() { f.run(20*time.Second, names...) })
-	g.Expect(readers).To(HaveLen(3), "one in each failure domain")
-	for _, name := range readers {
-		g.Expect(f.operators.calls[name]).To(BeNumerically("<=", 2*20+1), "%s, two a second", name)
-	}
-	for _, name := range names {
-		if len(f.links[name]) <= delegatesOfADomain {
-			g.Expect(atStart[name]).To(Equal(1), "%s asks the store at its start only", name)
-		}
-	}
-	f.readersDuring(func() {
-		f.changeConfig()
-		f.run(operatorBound, names...)
-	})
-	for _, name := range names {
-		g.Expect(f.routers[name].state.Config.Version).To(BeEquivalentTo(2), name)
+	for _, size := range []int{36, 48, 295} {
+		t.Run(fmt.Sprint(size, " routers"), func(t *testing.T) {
+			g := NewWithT(t)
+			f, names := newLargeFleet(t, size)
+			f.run(4*time.Second, names...)
+			atStart := f.operators.calls
+			readers := f.readersDuring(func() { f.run(20*time.Second, names...) })
+			g.Expect(readers).To(HaveLen(3), "one in each failure domain")
+			for _, name := range readers {
+				g.Expect(f.operators.calls[name]).To(BeNumerically("<=", 2*20+1), "%s, two a second", name)
+			}
+			for _, name := range names {
+				if len(f.links[name]) <= delegatesOfADomain {
+					g.Expect(atStart[name]).To(Equal(1), "%s asks the store at its start only", name)
+				}
+			}
+			f.readersDuring(func() {
+				f.changeConfig()
+				f.run(operatorBound, names...)
+			})
+			for _, name := range names {
+				g.Expect(f.routers[name].state.Config.Version).To(BeEquivalentTo(2), name)
+			}
+			g.Expect(f.operators.calls).To(HaveLen(3), "the others hear of the change")
+		})
 	}
-	g.Expect(f.operators.calls).To(HaveLen(3), "the others hear of the change")
 }
 
 // TestChangeIsInForceDespiteFailedReaders guards against routers that go by what they have heard from
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -7,12 +7,13 @@
 
 // Parameters of the communication between routers.
 const (
-	minStatusInterval     = 250 * time.Millisecond // Loads change by only a few requests within it.
-	maxStatusInterval     = 1500 * time.Millisecond
-	statusIntervalPerPeer = 15 * time.Millisecond  // In a larger fleet, each router sends less often.
-	statusRepeatInterval  = time.Second            // Interval at which an unchanged status is repeated.
-	peerTimeout           = 30 * time.Second       // Time for which a silent peer keeps its share of the budgets.
-	syncRetryInterval     = 500 * time.Millisecond // Interval at which an unanswered SyncRequest is repeated.
+	minStatusInterval       = 250 * time.Millisecond // Loads change by only a few requests within it.
+	maxStatusInterval       = 1500 * time.Millisecond
+	maxReaderStatusInterval = 500 * time.Millisecond // Half of statusRepeatInterval, so that this is kept.
+	statusIntervalPerPeer   = 15 * time.Millisecond  // In a larger fleet, each router sends less often.
+	statusRepeatInterval    = time.Second            // Interval at which an unchanged status is repeated.
+	peerTimeout             = 30 * time.Second       // Time for which a silent peer keeps its share of the budgets.
+	syncRetryInterval       = 500 * time.Millisecond // Interval at which an unanswered SyncRequest is repeated.
 	// A server takes about 80 bytes in a RosterReply, so replies take at most a fifth of a 10
 	// Mbit/s link, the slowest one supported.
 	rosterReplyIntervalPerServer = 300 * time.Microsecond
@@ -240,7 +241,7 @@
 	if now.Before(p.NextStatusAt) {
 		return
 	}
-	p.NextStatusAt = now.Add(p.StatusInterval())
+	p.NextStatusAt = now.Add(s.statusInterval(now))
 	status := s.peerStatus(now)
 	status.Crashes = s.crashNews(&p.CrashCursor, true, now)
 	status.Rates = s.rateReports(&p.RateCursor, true, now)
@@ -256,6 +257,16 @@
 	s.emit(SendToPeers{Message: &message})
 }
 
+// statusInterval returns the interval between two statuses of this router. Others go by the age of a
+// reader's knowledge, so that its statuses must not become rarer as its domain grows.
+func (s *State) statusInterval(now time.Time) time.Duration {
+	interval := s.Peers.StatusInterval()
+	if s.confirmsForOthers(now) {
+		return min(interval, maxReaderStatusInterval)
+	}
+	return interval
+}
+
 func (s *State) peerStatus(now time.Time) PeerStatus {
 	status := PeerStatus{
 		From: s.Settings.RouterName, Domain: s.Settings.Domain, Start: s.Settings.Start, RosterHash: s.Roster.Hash,
