--- a/dottereltack/dtnode/refusal_test.go
+++ b/dottereltack/dtnode/refusal_test.go
@@ -138,3 +138,24 @@
 		n.Expect(resp.body).To(Equal("mine"))
 	}
 }
+
+// TestConnectionOutOfOrderIsNotUsedAgain guards against further late responses on a connection on which
+// one has arrived.
+func TestConnectionOutOfOrderIsNotUsedAgain(t *testing.T) {
+	connections := sync.Map{}
+	n := newNode(t, newServer(t, func(id string, _ *http.Request, c net.Conn) {
+		connections.Store(c, true)
+		_, _ = io.WriteString(c, refusalOf("earlier")+okResponse(id, "mine"))
+	}))
+	c := n.dial()
+	const requests = 4
+	for i := range requests {
+		c.send("/once/x", fmt.Sprint("q", i), "")
+		resp, err := c.readResponse()
+		n.Expect(err).NotTo(HaveOccurred())
+		n.Expect(resp.body).To(Equal("mine"))
+	}
+	used := 0
+	connections.Range(func(_, _ any) bool { used++; return true })
+	n.Expect(used).To(Equal(requests))
+}
