--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -42,10 +42,21 @@
 	if !s.isReader(now) {
 		due = s.Roster.ListedAt.Add(s.serverListWait() + readerGracePeriod)
 	}
+	retryAt := s.ServerListPolling.RetryTime(s.maxServerListRetryDelay(now))
 	if s.Roster.ListedAt.IsZero() || s.isResuming(now) && !s.Roster.ListedAt.After(s.Resume.ResumedAt) {
-		return s.ServerListPolling.RetryAt
+		return retryAt
 	}
-	return later(due, s.ServerListPolling.RetryAt)
+	return later(due, retryAt)
+}
+
+func (s *State) maxServerListRetryDelay(now time.Time) time.Duration {
+	switch {
+	case s.isReader(now):
+		return maxReaderRetryDelay
+	case s.Membership.IsLarge():
+		return maxFollowerRetryDelay
+	}
+	return maxNonReaderRetryDelay
 }
 
 // serverListWait returns how long a call waits for the list to change.
@@ -109,18 +120,6 @@
 	s.sendToDomain(&status, now)
 }
 
-// scheduleServerListRetry schedules the next call after a failed one, with exponential backoff.
-func (s *State) scheduleServerListRetry(now time.Time) {
-	maxDelay := maxNonReaderRetryDelay
-	switch {
-	case s.isReader(now):
-		maxDelay = maxReaderRetryDelay
-	case s.Membership.IsLarge():
-		maxDelay = maxFollowerRetryDelay
-	}
-	s.ServerListPolling.Fail(maxDelay, now)
-}
-
 // handleRosterChange discards the state of removed servers and the health of added ones.
 func (s *State) handleRosterChange(added, removed []ServerID, now time.Time) {
 	for _, id := range removed {
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -90,8 +90,13 @@
 	if p.InProgress {
 		return time.Time{}
 	}
+	maxDelay := maxOperatorRetryDelay
+	if s.followsReader(now) {
+		maxDelay = maxFollowerRetryDelay
+	}
+	retryAt := p.RetryTime(maxDelay)
 	if s.isResuming(now) {
-		return p.RetryAt
+		return retryAt
 	}
 	due := p.NextAt
 	if !s.confirmsForOthers(now) {
@@ -100,7 +105,7 @@
 	if s.followsReader(now) {
 		due = later(due, s.OperatorKeys.ConfirmedAt.Add(s.maxOperatorAge()+s.operatorReadOffset()))
 	}
-	return later(due, p.RetryAt)
+	return later(due, retryAt)
 }
 
 // maxOperatorAge returns the age of a follower's knowledge at which it asks the store itself. Until
@@ -171,10 +176,6 @@
 		s.readOperatorKeysIfDue(now)
 		return
 	}
-	maxDelay := maxOperatorRetryDelay
-	if s.followsReader(now) {
-		maxDelay = maxFollowerRetryDelay
-	}
-	s.OperatorKeys.Polling.Fail(maxDelay, now)
+	s.OperatorKeys.Polling.Fail(now)
 	s.markStoreDown(StoreFailed{Call: "operator_keys", Detail: ev.Detail})
 }
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -153,7 +153,7 @@
 	case SettingsChanged:
 		s.handleSettingsChanged(ev, now)
 	case ListServersFailed:
-		s.scheduleServerListRetry(now)
+		s.ServerListPolling.Fail(now)
 		s.markStoreDown(StoreFailed{Call: "list_servers", Detail: ev.Detail})
 	}
 }
