--- a/core/dtdispatch/cutoff_test.go
+++ b/core/dtdispatch/cutoff_test.go
@@ -9,6 +9,25 @@
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
+// TestRouterWithALapsedEntryIsHeard guards against a router that is dropped by the others because its
+// entry in the store has lapsed, while they hear it all the time.
+func TestRouterWithALapsedEntryIsHeard(t *testing.T) {
+	for _, size := range []int{3, 48} {
+		g := NewWithT(t)
+		f, names := newLargeFleet(t, size)
+		lapsed := names[len(names)-1]
+		f.unlisted = map[string]bool{lapsed: true}
+		f.run(15*time.Second, names...)
+		linked := 0
+		for _, name := range names {
+			if _, hasLink := f.links[name][lapsed]; hasLink {
+				linked++
+			}
+		}
+		g.Expect(linked).To(BeNumerically(">=", min(size-1, delegatesOfADomain-1)), "routers with a link to the one that has lapsed, of %d", size)
+	}
+}
+
 // TestSilentReaderShortensTheRetryDelay guards against a router that waits as long after a failed call
 // as one that hears a reader, although its reader has fallen silent since.
 func TestSilentReaderShortensTheRetryDelay(t *testing.T) {
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -28,6 +28,7 @@
 	cores        map[string]float64
 	rejected     map[string]bool // Routers whose calls the store rejects.
 	operators    operatorStore
+	unlisted     map[string]bool // Routers whose entries in the store have lapsed.
 	isolated     map[string]bool // Routers whose messages, from and to, are lost.
 }
 
@@ -148,7 +149,7 @@
 func (f *fleet) routersListed() dtdispatch.RoutersListed {
 	ev := dtdispatch.RoutersListed{}
 	for name, r := range f.routers {
-		if !f.down[name] {
+		if !f.down[name] && !f.unlisted[name] {
 			ev.Routers = append(ev.Routers, dtdispatch.Router{Name: name, Address: name + ":1", Domain: r.state.Settings.Domain, Cores: f.cores[name]})
 		}
 	}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -30,7 +30,7 @@
 // PeerStatus is the periodic status message of a router to its peers.
 type PeerStatus struct {
 	From           string               `msgpack:"f"`
-	Address        string               `msgpack:"p,omitempty"` // Where other routers reach the sender; set only in a large fleet.
+	Address        string               `msgpack:"p,omitempty"` // Where other routers reach the sender.
 	Domain         string               `msgpack:"d"`
 	Start          int64                `msgpack:"s"`           // Start time of the sender, which identifies its incarnation.
 	InFlight       map[ServerRef]int    `msgpack:"l,omitempty"` // Nonzero numbers of requests in flight; omitted in a large fleet.
@@ -269,14 +269,12 @@
 
 func (s *State) peerStatus(now time.Time) PeerStatus {
 	status := PeerStatus{
-		From: s.Settings.RouterName, Domain: s.Settings.Domain, Start: s.Settings.Start, RosterHash: s.Roster.Hash,
+		From: s.Settings.RouterName, Address: s.Settings.Address, Domain: s.Settings.Domain, Start: s.Settings.Start, RosterHash: s.Roster.Hash,
 		RosterRevision: s.Roster.Revision, RosterAgeMs: now.Sub(s.Roster.ListedAt).Milliseconds(),
 		OperatorNews: s.operatorNews(now),
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
-	if s.Membership.IsLarge() {
-		status.Address = s.Settings.Address
-	} else {
+	if !s.Membership.IsLarge() {
 		status.InFlight = s.inFlight()
 	}
 	return status
