review: one crash of a worker with long prompts stops all machines

Callers get no answer to anything, for 5 to 76 s, at each machine that has heard of the crash: Block, partBlock and commonParts compare all parts of all reports with each other for each part of a prompt, on the control thread (dtdispatch/crashblock.go, crashnews.go).

The cases are in a new order; that of large request bodies is left out for this graver one.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform ] && [ -x target/review/standin ] || { echo "not built" >&2; exit 2; }
-exec target/review/standin bodies review/5
+exec target/review/standin poison review/5
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -227,3 +227,10 @@
 		w.acceptLoop(ln)
 	}()
 }
+
+// Connections returns the number of open connections.
+func (w *Worker) Connections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.conns)
+}
