review: the stand-in client sees that a connection ends with its answer

The standard library takes the field Connection out of a response's header, so that the stand-in client went on with a connection that the router had announced to close. Only the reading of the client changes.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -26,6 +26,7 @@
 	Header   http.Header
 	Body     string
 	Complete bool // The body has ended as its framing says.
+	Close    bool // The connection is closed after the answer.
 	Err      error
 	Took     time.Duration
 }
@@ -93,7 +94,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	a.Status, a.Header = resp.StatusCode, resp.Header
+	a.Status, a.Header, a.Close = resp.StatusCode, resp.Header, resp.Close
 	lines := bufio.NewReader(resp.Body)
 	for {
 		line, err := lines.ReadString('\n')
--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -138,7 +138,7 @@
 			if a.Status != http.StatusOK {
 				f.Record.Add("client got for order %s: status %d", id, a.Status)
 			}
-			if a.Header.Get("Connection") == "close" {
+			if a.Close {
 				return
 			}
 			continue
