--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -102,7 +102,7 @@
 		defer wg.Done()
 		id := NewID()
 		fields := streamFields(id, id)
-		fields["X-Prefix-Hash"] = prefix + "," + id + ":16"
+		fields["X-Prefix-Hash"], fields["X-Token-Usage"] = prefix+","+id+":16", "11824,80"
 		a := Ask(r.Frontend, http.MethodPost, stopPath+"d", fields, id, 15*time.Second, 3200*time.Millisecond, nil)
 		f.Record.Add("client got for stream %s: status %d, complete %v, %d bytes, after %v", id, a.Status, a.Complete, len(a.Body), a.Took)
 	}
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -38,7 +38,7 @@
 	if err := f.StartWorker(f.IP(10), w); err != nil {
 		return false, err
 	}
-	if err := f.StartRouters(0); err != nil {
+	if err := f.StartRouters(0, 1, 2, 0); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -68,7 +68,7 @@
 			return false, err
 		}
 	}
-	if err := f.StartRouters(0, 1, 2); err != nil {
+	if err := f.StartRouters(0, 0, 0, 1, 1, 1, 2, 2); err != nil {
 		return false, err
 	}
 	first := f.Routers[0]
@@ -132,7 +132,7 @@
 			fields := streamFields(again, id)
 			fields["Last-Event-Id"], fields["Resumes"] = last, id
 			fields["X-Deadline-Ms"] = fmt.Sprint(time.Until(deadline).Milliseconds())
-			other := f.Routers[1+n%2]
+			other := f.Routers[1+n%(len(f.Routers)-1)]
 			before := last
 			b := Ask(other.Frontend, http.MethodPost, draftPath+"d", fields, id, time.Until(deadline), maxGap, onLine)
 			f.Record.Add("client got for %s, which goes on with %s after event %s at %s: status %d, complete %v, last event %q, versions %v", again, id, before, other.Name, b.Status, b.Complete, last, names(versions))
