review: the cases keep to the doses and to sound stand-ins

Case 1: clients wait 5 s. Case 2: faulty workers spoil under 3 in 100 of their answers and stay under the rate of a link. Case 5: a crash counts once. A stopped play ends its processes.

--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -23,27 +23,34 @@
 	const (
 		workers     = 4
 		faulty      = 2  // Of them.
-		breakEvery  = 33 // Of the streams that begin at them, one in so many is broken off.
-		streams     = 1000
-		streamEvery = 50 * time.Millisecond
+		breakEvery  = 50 // Of the streams that begin at them, one in so many is broken off.
+		streams     = 1800
+		streamEvery = 30 * time.Millisecond
 		pieces      = 30
 		pieceGap    = 50 * time.Millisecond
 		orderers    = 10
+		linkBytes   = 120_000_000 // A second, at most; a link has 1,000 Mbit/s.
 		orderWork   = 100 * time.Millisecond
 		playFor     = 60 * time.Second
 	)
 	f.Store.Put("op/config", Config(7))
-	block := strings.Repeat(": these bytes are no answer to any request\n\n", 400)
-	var begun atomic.Int64 // Streams that have begun at a faulty worker.
+	block := strings.Repeat(": these bytes are no answer to any request\n\n", 4000)
+	var begun, answers, spoiled atomic.Int64 // Of faulty workers: streams that begin, all answers, those that are spoiled.
 	model := func(isFaulty bool) func(c *Call) bool {
 		return func(c *Call) bool {
 			breaksOff := isFaulty && c.ResumeAfter() == 0 && begun.Add(1)%breakEvery == 0
 			f.Record.Add("worker %s runs %s after event %d", c.Worker.ID, c.ID, c.ResumeAfter())
+			if isFaulty {
+				answers.Add(1)
+			}
 			if c.StartStream() != nil {
 				return false
 			}
 			if isFaulty && c.ResumeAfter() > 0 {
+				spoiled.Add(1)
+				begun := time.Now()
 				for sent := 0; ; sent += len(block) {
+					time.Sleep(time.Until(begun.Add(time.Duration(sent) * time.Second / linkBytes)))
 					if err := c.Chunk(block); err != nil {
 						f.Record.Add("worker %s answered %s with bytes that are no answer until the caller closed after %d MB", c.Worker.ID, c.ID, sent>>20)
 						return false
@@ -52,6 +59,7 @@
 			}
 			for i := c.ResumeAfter() + 1; i <= pieces; i++ {
 				if breaksOff && i == 5 {
+					spoiled.Add(1)
 					_ = c.Chunk("id: 5\nda")
 					f.Record.Add("worker %s breaks %s off", c.Worker.ID, c.ID)
 					return false
@@ -113,6 +121,7 @@
 	wg.Wait()
 	<-watched
 	f.Record.Add("the process of %s was killed for its memory %d times; orders served: %d", r.Name, kills.Load(), served.Load())
+	f.Record.Add("answers of faulty workers: %d, of which spoiled: %d", answers.Load(), spoiled.Load())
 	f.Record.Add("orders passed on from a kept connection to a sound worker that closed without an answer: %d (more than 3 break LOST)", lost.Load())
 	return lost.Load() > 3, nil
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -199,3 +199,12 @@
 	}
 	return lines
 }
+
+// ChangeSettings writes another bound into the settings file of the router.
+func (r *Router) ChangeSettings() error {
+	text, err := os.ReadFile(r.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(r.settings, bytes.Replace(text, []byte(`"retrySlack":56`), []byte(`"retrySlack":57`), 1), 0o600)
+}
--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -27,7 +27,7 @@
 		timeout   = 600 * time.Millisecond // timeoutMs of the orders' route.
 		slack     = 500 * time.Millisecond
 		playFor   = 30 * time.Second
-		patience  = 85 * time.Second // Of the clients that send orders.
+		patience  = 5 * time.Second // Of the clients that send orders.
 	)
 	f.Store.Put("op/config", Config(7))
 	var all []*Worker
@@ -68,7 +68,8 @@
 	end := time.Now().Add(playFor)
 	var wg sync.WaitGroup
 	var served, late, veryLate atomic.Int64
-	var longest atomic.Int64
+	var mu sync.Mutex
+	lastServed, longest := map[string]time.Time{}, map[string]time.Duration{} // By router.
 	for n := range orderers {
 		r := f.Routers[n%len(f.Routers)]
 		wg.Add(1)
@@ -76,7 +77,7 @@
 			defer wg.Done()
 			for time.Now().Before(end) {
 				id := NewID()
-				fields := map[string]string{"X-Attempt-Id": id, "X-Deadline-Ms": "85000"}
+				fields := map[string]string{"X-Attempt-Id": id, "X-Deadline-Ms": "5000"}
 				a := Ask(r.Frontend, http.MethodPost, orderPath+"o", fields, "a poster", patience, 0, nil)
 				if a.Took > timeout {
 					late.Add(1)
@@ -88,7 +89,17 @@
 				if a.Status == http.StatusOK {
 					served.Add(1)
 				}
-				longest.Store(max(longest.Load(), int64(a.Took)))
+				if a.Status == http.StatusOK {
+					mu.Lock()
+					if gap := time.Since(lastServed[r.Name]); lastServed[r.Name].IsZero() || gap > longest[r.Name] {
+						longest[r.Name] = gap
+					}
+					if lastServed[r.Name].IsZero() {
+						longest[r.Name] = 0
+					}
+					lastServed[r.Name] = time.Now()
+					mu.Unlock()
+				}
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
@@ -130,7 +141,11 @@
 		time.Sleep(4 * time.Millisecond)
 	}
 	wg.Wait()
-	f.Record.Add("orders served: %d; longest: %v", served.Load(), time.Duration(longest.Load()))
+	for _, r := range f.Routers { // A router that stands still to the end serves nothing more.
+		longest[r.Name] = max(longest[r.Name], time.Since(lastServed[r.Name]))
+		f.Record.Add("longest time in which %s served no order: %v", r.Name, longest[r.Name])
+	}
+	f.Record.Add("orders served: %d", served.Load())
 	f.Record.Add("orders without an answer at timeoutMs: %d; of these without one half a second later: %d (more than half of 8 or more break CONFIG)", late.Load(), veryLate.Load())
 	return late.Load() >= 8 && veryLate.Load()*2 > late.Load(), nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +43,8 @@
 		return exitNotRun
 	}
 	defer fleet.Close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	const limit = 110 * time.Second
 	type result struct {
 		broken bool
@@ -66,6 +70,9 @@
 		record.Add("the rule held")
 		fmt.Println("the rule held")
 		return exitHeld
+	case <-stop:
+		record.Add("could not run: stopped")
+		return exitNotRun
 	case <-time.After(limit):
 		record.Add("could not run: not done after %v", limit)
 		return exitNotRun
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -47,11 +47,12 @@
 			}
 			time.Sleep(pieceGap)
 			if isDeadly {
-				f.Record.Add("worker %s has begun to write its answer to %s and crashes", c.Worker.ID, c.ID)
-				mu.Lock()
-				crashes = append(crashes, time.Now())
-				mu.Unlock()
-				c.Worker.Restart(backAfter)
+				if c.Worker.Restart(backAfter) {
+					f.Record.Add("worker %s has begun to write its answer to %s and crashes", c.Worker.ID, c.ID)
+					mu.Lock()
+					crashes = append(crashes, time.Now())
+					mu.Unlock()
+				}
 				return false
 			}
 		}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -203,13 +203,15 @@
 	return n
 }
 
-// Restart crashes the worker, which is back after a while at its address and under its ID.
-func (w *Worker) Restart(after time.Duration) {
+// Restart crashes the worker, which is back after a while at its address and under its ID. It returns false if the
+// worker is down.
+func (w *Worker) Restart(after time.Duration) bool {
 	w.mu.Lock()
 	if w.down {
 		w.mu.Unlock()
-		return
+		return false
 	}
+	w.down = true
 	w.mu.Unlock()
 	address := w.Address()
 	w.Crash()
@@ -226,6 +228,7 @@
 		w.Register()
 		w.acceptLoop(ln)
 	}()
+	return true
 }
 
 // Connections returns the number of open connections.
