the log tells what a retry budget and the version of a stream were decided by

Lines retry, budget_routers, stream_recorded, streams_stored and stream_told, the software version in server_listed, and counters of both. No decision is changed; tests of dtdispatch, dtnode and dtexplain pass.

--- a/core/dtdispatch/budget.go
+++ b/core/dtdispatch/budget.go
@@ -81,10 +81,17 @@
 	r.Retries.Resize(window, now)
 }
 
-// HasRoom reports whether another retry is within the budget, whose slack is divided among the routers.
+// Usage returns what has been counted and what is allowed; the slack is divided among the routers.
+func (r *RetryBudget) Usage(b Bounds, routers int, now time.Time) RetryUsage {
+	u := RetryUsage{Requests: r.Requests.Sum(now), Retries: r.Retries.Sum(now)}
+	u.Limit = retryBudgetShare * (b.RetryRatio*float64(u.Requests) + b.RetrySlack/float64(routers))
+	return u
+}
+
+// HasRoom reports whether another retry is within the budget.
 func (r *RetryBudget) HasRoom(b Bounds, routers int, now time.Time) bool {
-	limit := retryBudgetShare * (b.RetryRatio*float64(r.Requests.Sum(now)) + b.RetrySlack/float64(routers))
-	return float64(r.Retries.Sum(now)+1) <= limit
+	u := r.Usage(b, routers, now)
+	return float64(u.Retries+1) <= u.Limit
 }
 
 // Take is like HasRoom and counts the retry if there is room.
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -131,6 +131,8 @@
 	ConfigVersion int64         // Version of the configuration used for the decision.
 	RosterAge     time.Duration // Age of the server list used for the decision.
 	RouterCount   int           // Number of routers that share the fleet's budgets.
+	Retries       RetryUsage    // Of the service that the record is about.
+	StreamAge     time.Duration // Time since the stream began, by the time that decides on its version.
 	Progress      Progress      // How far the response had come.
 	PromptParts   []PromptPart  // Parts of the request's prompt.
 	RateLimit     RateLimit     // Named by the server that the record is about.
@@ -140,6 +142,13 @@
 	Crashes       int           // Known crashes of servers that the record's request was running on.
 }
 
+// RetryUsage is what a router has counted in the retry window of a service, and what it allows.
+type RetryUsage struct {
+	Requests int
+	Retries  int
+	Limit    float64 // Highest number of retries.
+}
+
 // SetTimer requests a TimerFired event at At, replacing any earlier timer.
 type SetTimer struct{ At time.Time }
 
--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -143,7 +143,7 @@
 	for _, id := range added {
 		delete(s.Health, id)
 		delete(s.ServerRates, id)
-		s.emit(LogRecord{Event: "server_listed", Subject: string(id), Detail: s.Roster.Servers[id].Address})
+		s.emit(LogRecord{Event: "server_listed", Subject: string(id), Version: s.Roster.Servers[id].Version, Detail: s.Roster.Servers[id].Address})
 	}
 	s.forgetNotices(now)
 	s.updateVersions(now)
--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -189,6 +189,16 @@
 	return names
 }
 
+// logRouterCount logs that the number of routers has changed by which the fleet's budgets are divided.
+func (s *State) logRouterCount(now time.Time) {
+	n := s.RouterCount(now)
+	if n == s.BudgetRouters {
+		return
+	}
+	s.BudgetRouters = n
+	s.emit(LogRecord{Event: "budget_routers", RouterCount: n})
+}
+
 // RouterCount returns the number of routers that share the fleet's budgets.
 func (s *State) RouterCount(now time.Time) int {
 	if s.Membership.IsLarge() {
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -136,7 +136,7 @@
 	if r.isResumable() {
 		r.Version, r.HasVersion = r.ServerVersion, true
 	}
-	s.holdStream(r)
+	s.holdStream(r, now)
 	r.ResponseStartedAt = now
 	if server := s.Roster.Servers[r.Server]; server != nil {
 		s.Prompts.RecordRead(r.PromptParts, server.Ref(), now)
@@ -284,13 +284,29 @@
 		s.giveUp(r, reason, now)
 	case s.Crashes.Block(r.Digest, r.PromptParts).IsActive(now):
 		s.giveUp(r, ReasonPoison, now)
-	case !s.retryBudget(r.Service).Take(s.Settings.Bounds, s.RouterCount(now), now):
+	case !s.takeRetry(r, now):
 		s.giveUp(r, ReasonRetryBudget, now)
 	default:
 		s.startAttempt(r, reason, now)
 	}
 }
 
+// takeRetry counts a retry if the budget of the service has room for it.
+func (s *State) takeRetry(r *Request, now time.Time) bool {
+	budget, routers := s.retryBudget(r.Service), s.RouterCount(now)
+	usage := budget.Usage(s.Settings.Bounds, routers, now)
+	isAllowed := budget.Take(s.Settings.Bounds, routers, now)
+	outcome := "allowed"
+	if !isAllowed {
+		outcome = ReasonRetryBudget.String()
+	}
+	s.emit(LogRecord{
+		Event: "retry", RequestID: r.ID, Subject: r.Service, Outcome: outcome, Attempt: r.Attempt, Elapsed: now.Sub(r.ArrivedAt),
+		RouterCount: routers, Retries: usage,
+	})
+	return isAllowed
+}
+
 // hasAttemptLeft reports whether the route and the deadline allow another attempt.
 func (r *Request) hasAttemptLeft(now time.Time) bool {
 	return r.SentAttempts < r.Route.MaxAttempts && r.Deadline.Sub(now) >= minTimeForRetry
@@ -347,5 +363,8 @@
 	if r.Route != nil {
 		record.Kind, record.Route = r.Route.Kind(), r.Route.Name
 	}
+	if r.Route != nil && r.isResumable() && r.ResumeAfter == "" && !r.StreamTime.IsZero() {
+		record.StreamAge = now.Sub(r.StreamTime)
+	}
 	s.emit(record)
 }
--- a/core/dtdispatch/shutdown.go
+++ b/core/dtdispatch/shutdown.go
@@ -78,7 +78,7 @@
 // endRequests ends the attempts in progress, after which their requests are given up, and refuses those that wait.
 // Streams that are held are forwarded as far as they have come.
 func (s *State) endRequests(now time.Time) {
-	s.forwardHeldStreams()
+	s.forwardHeldStreams(now)
 	for _, number := range sortedKeys(s.Requests) {
 		s.emit(CancelAttempt{Number: number})
 	}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -76,6 +76,8 @@
 	StoreEra          uint64 // Highest era that the store has named; zero if none.
 	IsListIgnored     bool   // The last list read from the store was ignored as outdated.
 
+	BudgetRouters     int    // Number of routers that share the fleet's budgets, as last logged.
+
 	lastRateSeq uint64    // Of ServerRates.
 	timerAt     time.Time // Time of the pending timer.
 	effects     []Effect  // Effects of the current step.
@@ -269,6 +271,7 @@
 
 func (s *State) handleTimerFired(now time.Time) {
 	s.timerAt = time.Time{}
+	s.logRouterCount(now)
 	s.continueShutdown(now)
 	s.listRoutersIfDue(now)
 	s.sendStatusIfDue(now)
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -18,13 +18,13 @@
 func (s *State) isUnrecorded(r *Request) bool { return r.RecordSeq > s.StreamVersions.WrittenSeq }
 
 // holdStream has the relay forward the stream whose first event it has as soon as the store has its version.
-func (s *State) holdStream(r *Request) {
+func (s *State) holdStream(r *Request, now time.Time) {
 	if !r.HoldsStream {
 		return
 	}
 	r.IsStreamHeld = true
 	if s.canForward(r) {
-		s.forwardStream(r)
+		s.forwardStream(r, now)
 	}
 }
 
@@ -33,8 +33,9 @@
 	return !s.isUnrecorded(r) || s.StreamVersions.ExceptionWrite.Failures > 0 || s.Shutdown.Ending
 }
 
-func (s *State) forwardStream(r *Request) {
+func (s *State) forwardStream(r *Request, now time.Time) {
 	if s.isUnrecorded(r) {
+		s.emit(LogRecord{Event: "stream_told", RequestID: r.ID, Stream: r.StreamID, Version: r.ServerVersion, Elapsed: now.Sub(r.ArrivedAt)})
 		s.emit(SendToPeers{Message: &StreamNews{Versions: map[string]string{r.StreamID: r.ServerVersion}}})
 	}
 	r.HoldsStream, r.IsStreamHeld = false, false
@@ -42,10 +43,10 @@
 }
 
 // forwardHeldStreams forwards the held streams that need not wait any longer.
-func (s *State) forwardHeldStreams() {
+func (s *State) forwardHeldStreams(now time.Time) {
 	for _, number := range sortedKeys(s.Requests) {
 		if r := s.Requests[number]; r.IsStreamHeld && s.canForward(r) {
-			s.forwardStream(r)
+			s.forwardStream(r, now)
 		}
 	}
 }
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -57,9 +57,21 @@
 		r.RecordSeq = v.ExceptionSeq
 	}
 	v.addException(r.StreamID, StreamException{Version: version, At: now, Seq: v.ExceptionSeq, IsOwn: true}, now)
+	s.emit(LogRecord{
+		Event: "stream_recorded", RequestID: r.ID, Stream: r.StreamID, Version: version, Outcome: recordOutcome(isRegular), Elapsed: now.Sub(r.ArrivedAt),
+		StreamAge: now.Sub(r.StreamTime),
+	})
 	v.ExceptionWrite.markDue(now.Add(exceptionDelay))
 }
 
+// recordOutcome returns what becomes of a stream that is recorded, for the log.
+func recordOutcome(isRegular bool) string {
+	if isRegular {
+		return "listed"
+	}
+	return "held"
+}
+
 // isVersionSince reports whether all mixes from a time until recordedSkew after that of a new stream give it a version.
 func (h *VersionHistory) isVersionSince(from time.Time, r *Request, version string) bool {
 	found, isCertain := h.VersionBetween(r.StreamID, from, r.StreamTime.Add(recordedSkew))
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -54,7 +54,7 @@
 	if len(history.Mixes) > 1 || !isCertain {
 		s.emit(LogRecord{
 			Event: "stream_version", RequestID: r.ID, Stream: r.StreamID, Version: version, Outcome: certainty(isCertain),
-			Elapsed: now.Sub(from),
+			Elapsed: now.Sub(from), StreamAge: now.Sub(to),
 		})
 	}
 	if !isCertain || !s.hasServer(r.Service, version) {
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -153,7 +154,7 @@
 		write := v.write(ev.Part)
 		write.Fail(now)
 		write.markDue(now)
-		s.forwardHeldStreams()
+		s.forwardHeldStreams(now)
 		return
 	}
 	v.Reading.Fail(now)
@@ -253,7 +254,8 @@
 	v.write(ev.Part).Succeed(next)
 	if ev.Part == PartExceptions {
 		v.WrittenSeq = v.WritingSeq
-		s.forwardHeldStreams()
+		s.emit(LogRecord{Event: "streams_stored", Detail: strconv.FormatUint(v.WrittenSeq, 10)})
+		s.forwardHeldStreams(now)
 	}
 	s.writeVersionRecordIfDue(now)
 }
--- a/dottereltack/dtmeter/meter.go
+++ b/dottereltack/dtmeter/meter.go
@@ -39,6 +39,16 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_attempts_failed_total{outcome=%q}`, outcome)).Inc()
 }
 
+// CountRetry counts a retry that the retry budget has allowed, or refused, by outcome.
+func (m *Meter) CountRetry(outcome string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_retries_total{outcome=%q}`, outcome)).Inc()
+}
+
+// CountStreamRecord counts a stream whose version had to be recorded, by how: "listed", "held" or "told".
+func (m *Meter) CountStreamRecord(outcome string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_streams_recorded_total{outcome=%q}`, outcome)).Inc()
+}
+
 // CountServerNotice counts an announcement of a backend server, "leaving" or "backoff".
 func (m *Meter) CountServerNotice(notice string) {
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_server_notices_total{notice=%q}`, notice)).Inc()
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -20,6 +20,7 @@
 	configVersion atomic.Int64
 	listedAtMs    atomic.Int64 // Unix milliseconds.
 	storeEra      atomic.Int64
+	budgetRouters atomic.Int64
 }
 
 func (g *gauges) register(set *metrics.Set) {
@@ -29,6 +30,7 @@
 		"dottereltack_routers_known":         &g.routers,
 		"dottereltack_configuration_version": &g.configVersion,
 		"dottereltack_store_era":             &g.storeEra,
+		"dottereltack_budget_routers":        &g.budgetRouters,
 	} {
 		set.NewGauge(name, func() float64 { return float64(value.Load()) })
 	}
@@ -45,6 +47,7 @@
 	n.gauges.routers.Store(int64(len(s.Peers.ByName) + 1))
 	n.gauges.listedAtMs.Store(s.Roster.ListedAt.UnixMilli())
 	n.gauges.storeEra.Store(int64(s.StoreEra))
+	n.gauges.budgetRouters.Store(int64(s.BudgetRouters))
 	if s.Config != nil {
 		n.gauges.configVersion.Store(s.Config.Version)
 	}
@@ -58,6 +61,10 @@
 		n.Meter.ObserveRequestDuration(e.Kind, e.Elapsed)
 	case "attempt":
 		n.Meter.CountFailedAttempt(e.Outcome)
+	case "retry":
+		n.Meter.CountRetry(e.Outcome)
+	case "stream_recorded", "stream_told":
+		n.Meter.CountStreamRecord(cmp.Or(e.Outcome, "told"))
 	case "server_leaving", "server_backoff":
 		n.Meter.CountServerNotice(strings.TrimPrefix(e.Event, "server_"))
 	}
@@ -77,7 +84,7 @@
 }
 
 func logFields(e *dtdispatch.LogRecord) []any {
-	const maxFields = 36
+	const maxFields = 40
 	fields := make([]any, 0, maxFields)
 	fields = append(fields, "step", e.Event)
 	add := func(key string, value any, include bool) {
@@ -97,6 +104,10 @@
 	add("site", e.ConfigVersion, e.ConfigVersion != 0)
 	add("list_age_ms", e.RosterAge.Milliseconds(), e.RosterAge != 0)
 	add("routers", e.RouterCount, e.RouterCount != 0)
+	add("window_requests", e.Retries.Requests, e.Retries.Limit != 0)
+	add("window_retries", e.Retries.Retries, e.Retries.Limit != 0)
+	add("retry_limit", e.Retries.Limit, e.Retries.Limit != 0)
+	add("stream_age_ms", e.StreamAge.Milliseconds(), e.StreamAge != 0)
 	add("version", e.Version, e.Version != "")
 	add("rank", e.Placement.Rank, e.Placement.Server != nil)
 	add("load", e.Placement.Load, e.Placement.Server != nil)
