--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -76,7 +76,7 @@
 	StoreEra          uint64 // Highest era that the store has named; zero if none.
 	IsListIgnored     bool   // The last list read from the store was ignored as outdated.
 
-	BudgetRouters     int    // Number of routers that share the fleet's budgets, as last logged.
+	BudgetRouters int // Number of routers that share the fleet's budgets, as last logged.
 
 	lastRateSeq uint64    // Of ServerRates.
 	timerAt     time.Time // Time of the pending timer.
