a leader counts the model loads of its predecessor

A leader that had just taken the lease, also the same router after a restart, sent its first order at once: with 12 a minute and 11 domains its part is one in 55 s, and a leader that changes with each lease (15 s) sends one in some 15 s.

Cause: the time of the last order was kept by the leader alone and forgotten with it.

Evidence: TestLeaderThatTakesOverKeepsTheRateOfModelLoads failed before, with an order 0.5 s after the lease of the predecessor had expired where 2 s are due.

Fix: the lease that is taken over tells until when the predecessor may have sent an order, since orders are not sent once it has expired. The new leader counts its interval from there. A lease without a predecessor delays nothing.

--- a/core/dtstate/engine.go
+++ b/core/dtstate/engine.go
@@ -16,10 +16,17 @@
 // together stay within the configured rate at which engines may load model weights.
 type LoadModelLimiter struct {
 	LastSentAt    map[ServerID]time.Time
-	NextAllowedAt time.Time
+	LastCommandAt time.Time // Including commands that a predecessor may have sent until its lease ended.
 	CommandCount  uint64
 }
 
+// continueAfter counts a command of a predecessor, which may have sent one until its lease ended.
+func (l *LoadModelLimiter) continueAfter(leaseEnd time.Time) {
+	if leaseEnd.After(l.LastCommandAt) {
+		l.LastCommandAt = leaseEnd
+	}
+}
+
 // reportModelMismatch informs the leader candidates if an engine does not serve the model
 // that its group is named after. It runs for every report, so the message is repeated
 // until the model matches.
@@ -42,14 +49,14 @@
 		return
 	}
 	limiter := &l.LoadModelLimiter
-	if now.Sub(limiter.LastSentAt[sv.ID]) < loadModelRepeatInterval || now.Before(limiter.NextAllowedAt) {
+	if now.Sub(limiter.LastSentAt[sv.ID]) < loadModelRepeatInterval || now.Sub(limiter.LastCommandAt) < s.modelLoadInterval() {
 		return
 	}
 	if limiter.LastSentAt == nil {
 		limiter.LastSentAt = map[ServerID]time.Time{}
 	}
 	limiter.LastSentAt[sv.ID] = now
-	limiter.NextAllowedAt = now.Add(s.modelLoadInterval())
+	limiter.LastCommandAt = now
 	limiter.CommandCount++
 	s.recordEvent("engine_order", string(sv.ID), "", sv.Group)
 	s.emit(LoadModel{
--- a/core/dtstate/engine_test.go
+++ b/core/dtstate/engine_test.go
@@ -71,3 +71,34 @@
 	effects := s.Step(dtstate.MessageReceived{From: "r-0-0", Message: &dtstate.ModelMismatch{Server: "s-0", Model: "other"}}, late)
 	g.Expect(loadModelEffects(effects)).To(BeEmpty())
 }
+
+// A router that takes over the lease must not send commands that its predecessor's share of the rate may
+// already have covered.
+func TestLeaderThatTakesOverKeepsTheRateOfModelLoads(t *testing.T) {
+	g := NewWithT(t)
+	now := time.UnixMilli(1_700_000_000_000)
+	s := newFleetState(2, 1, 8, 1, now)
+	expiry := now.Add(3 * time.Second)
+	predecessor := dtstate.LeaderLease{Holder: s.Settings.Self, Start: s.Settings.Start - 1, UntilMs: uint64(expiry.UnixMilli())}
+	for i := 0; i < 40 && !s.Leader.HoldsLease(now); i++ {
+		now = now.Add(500 * time.Millisecond)
+		for _, e := range append([]dtstate.Effect(nil), s.Step(dtstate.TimerFired{}, now)...) {
+			c, ok := e.(dtstate.PlatformCall)
+			if !ok || c.Key != "keeper/d-0" {
+				continue
+			}
+			completed := dtstate.PlatformCallCompleted{CallID: c.CallID, Status: dtstate.PlatformOK, Revision: 1, Value: c.Value}
+			if c.Op == dtstate.PlatformGet {
+				completed.Value.Leader = &predecessor
+			}
+			s.Step(completed, now)
+		}
+	}
+	g.Expect(s.Leader.HoldsLease(now)).To(BeTrue())
+	mismatchAt := func(at time.Time) []dtstate.LoadModel {
+		return loadModelEffects(s.Step(dtstate.MessageReceived{From: "r-0-0", Message: &dtstate.ModelMismatch{Server: "s-0", Model: "other"}}, at))
+	}
+	const interval = 2 * time.Second // 60 a minute, divided among two failure domains.
+	g.Expect(mismatchAt(expiry.Add(interval-time.Millisecond))).To(BeEmpty(), "the predecessor may have used its share just before the lease expired")
+	g.Expect(mismatchAt(expiry.Add(interval))).To(HaveLen(1))
+}
--- a/core/dtstate/leader.go
+++ b/core/dtstate/leader.go
@@ -150,6 +150,9 @@
 		s.callPlatform(PlatformCall{Op: PlatformGet, Key: key}, callLeaseRead, now)
 		return
 	}
+	if !mine && l.Lease.UntilMs > 0 {
+		l.LoadModelLimiter.continueAfter(time.UnixMilli(int64(l.Lease.UntilMs)))
+	}
 	l.Lease = LeaderLease{Holder: s.Settings.Self, Start: s.Settings.Start, UntilMs: unixMs(now.Add(leaseDuration))}
 	lease := l.Lease
 	s.callPlatform(PlatformCall{Op: PlatformPut, Key: key, Revision: l.LeaseRevision, Value: PlatformValue{Leader: &lease}}, callLeaseWrite, now)
