the rate of model loads is divided among the configured failure domains

A leader divided it by the failure domains that it had heard of. One that starts, or that no other domain reaches, knows its own domain only, and orders at the rate of the whole fleet while the leaders of the others do too.

Cause: a bound of the fleet divided by what is heard at the moment.

Evidence: TestLeaderSharesTheRateOfModelLoadsWithConfiguredDomains failed before, with a second order one millisecond before the interval of four configured domains had passed, two of them not heard of.

Fix: configured failure domains count whether they have been heard of or not. A domain that is heard of but not configured still counts too, so that the share can only be too small.

--- a/core/dtstate/engine.go
+++ b/core/dtstate/engine.go
@@ -1,6 +1,7 @@
 package dtstate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtconfig"
@@ -68,6 +69,20 @@
 // rate configured for the fleet is divided among the failure domains.
 func (s *State) modelLoadInterval() time.Duration {
 	perMinute := max(s.Config.Limits().ModelLoadsPerMinute, 1)
-	domains := max(len(s.Fleet.Domains), 1)
-	return time.Duration(secondsPerMinute*domains) * time.Second / time.Duration(perMinute)
+	return time.Duration(secondsPerMinute*s.domainCount()) * time.Second / time.Duration(perMinute)
+}
+
+// domainCount returns the number of failure domains, including those that are configured but have not been
+// heard of.
+func (s *State) domainCount() int {
+	n := len(s.Fleet.Domains)
+	if s.Config.Site == nil {
+		return max(n, 1)
+	}
+	for d := range s.Config.Site.FailureDomains {
+		if !slices.Contains(s.Fleet.Domains, FailureDomain(d)) {
+			n++
+		}
+	}
+	return max(n, 1)
 }
--- a/core/dtstate/engine_test.go
+++ b/core/dtstate/engine_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dottereltack/dottereltack/core/dtconfig"
 	"github.com/dottereltack/dottereltack/core/dtstate"
 )
 
@@ -102,3 +103,21 @@
 	g.Expect(mismatchAt(expiry.Add(interval-time.Millisecond))).To(BeEmpty(), "the predecessor may have used its share just before the lease expired")
 	g.Expect(mismatchAt(expiry.Add(interval))).To(HaveLen(1))
 }
+
+// A leader that has heard of few failure domains must not take a larger share of the rate of model loads
+// than the configured domains leave it.
+func TestLeaderSharesTheRateOfModelLoadsWithConfiguredDomains(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := newLeaderState(g, time.UnixMilli(1_700_000_000_000))
+	site := *s.Config.Site
+	site.FailureDomains = map[string]dtconfig.FailureDomain{"d-0": {}, "d-1": {}, "d-2": {}, "d-3": {}}
+	now := s.Leader.LeaseUntil.Add(-10 * time.Second)
+	s.Step(dtstate.ConfigDecoded{Record: &dtstate.ConfigRecord{Version: 2}, Site: &site}, now)
+	mismatchAt := func(server dtstate.ServerID, at time.Time) []dtstate.LoadModel {
+		return loadModelEffects(s.Step(dtstate.MessageReceived{From: "r-0-0", Message: &dtstate.ModelMismatch{Server: server, Model: "other"}}, at))
+	}
+	const interval = 4 * time.Second // 60 a minute, divided among four failure domains.
+	g.Expect(mismatchAt("s-0", now)).To(HaveLen(1))
+	g.Expect(mismatchAt("s-2", now.Add(interval-time.Millisecond))).To(BeEmpty(), "two of the four domains have not been heard of")
+	g.Expect(mismatchAt("s-2", now.Add(interval))).To(HaveLen(1))
+}
