waiting requests are refused by the reducer when the time of a stop is over

Cause: when the time for requests in flight at a graceful stop was over, the gateway refused what still waited by itself, and so did it with requests that reached it after the reducer had ended.

Fix: the reducer is told that the time is over (DrainTimedOut) and refuses what does not run at a server, so that these refusals are numbered and go to the ledger like all others, and claims of orders that have not run are released. The gateway no longer refuses anything itself; once the reducer has ended it closes the connections of requests on which nothing was decided, which promises nothing. The model plays the event too.

--- a/core/dtstate/entry.go
+++ b/core/dtstate/entry.go
@@ -59,6 +59,7 @@
 	// A resend of a running order polls for the outcome until outcomeDeadline.
 	outcomeDeadline time.Time
 	pollingOutcome  bool
+	foundRunning    bool   // Another request with the same order key was running when last checked.
 	timerNumber     uint64 // Number of its current timer; other timers are ignored.
 }
 
--- a/core/dtstate/event.go
+++ b/core/dtstate/event.go
@@ -150,7 +150,11 @@
 // shutdown may end.
 type IntakeClosed struct{}
 
+// DrainTimedOut reports that the time for requests in flight at a graceful shutdown has passed.
+type DrainTimedOut struct{}
+
 func (IntakeClosed) isEvent()          {}
+func (DrainTimedOut) isEvent()         {}
 func (RequestArrived) isEvent()        {}
 func (FirstByte) isEvent()             {}
 func (AttemptEnded) isEvent()          {}
--- a/core/dtstate/order.go
+++ b/core/dtstate/order.go
@@ -247,6 +247,7 @@
 	}
 	if m.Result == ClaimFoundRunning && now.Before(r.outcomeDeadline) {
 		r.pollingOutcome = true
+		r.foundRunning = true
 		s.setRequestTimer(r, outcomePollInterval, now)
 		return
 	}
--- a/core/dtstate/state.go
+++ b/core/dtstate/state.go
@@ -35,7 +35,8 @@
 	ExitEmitted   bool
 	// IntakeClosed is set once no caller can send requests any more; before that the router
 	// may refuse some and must not exit.
-	IntakeClosed bool
+	IntakeClosed  bool
+	DrainTimedOut bool // Requests are no longer waited for unless they run at a server.
 
 	random  *rand.Rand
 	effects []Effect
@@ -72,6 +73,9 @@
 func (s *State) Step(ev Event, now time.Time) []Effect {
 	s.effects = s.effects[:0]
 	s.applyEvent(ev, now)
+	if s.DrainTimedOut {
+		s.refuseWaiting(now)
+	}
 	s.flushGossip(now)
 	s.flushOrderPages(now)
 	s.scheduleWake(now)
@@ -109,6 +113,8 @@
 		s.handleStopRequested(now)
 	case IntakeClosed:
 		s.IntakeClosed = true
+	case DrainTimedOut:
+		s.DrainTimedOut = true
 	}
 }
 
@@ -180,6 +186,28 @@
 	s.denyAllWaiting(now)
 }
 
+// refuseWaiting refuses the requests that do not run at a server.
+func (s *State) refuseWaiting(now time.Time) {
+	var waiting []*Request
+	for _, r := range s.Entry.Requests {
+		if r.Phase != PhaseRunning {
+			waiting = append(waiting, r)
+		}
+	}
+	sortRequests(waiting)
+	for _, r := range waiting {
+		switch {
+		case r.foundRunning && r.Phase == PhaseClaiming:
+			s.refuseAdmitted(r, ReasonInProgress, now)
+		case r.Phase == PhaseClaiming && !r.IsQuery:
+			s.recordOrderOutcome(r, ClaimRelease, 0, nil, now)
+			s.refuseAdmitted(r, ReasonStopping, now)
+		default:
+			s.refuseAdmitted(r, ReasonStopping, now)
+		}
+	}
+}
+
 // finishShutdown emits Exit once no request, unrecorded outcome or unstored refusal is left
 // and no caller can send new requests.
 func (s *State) finishShutdown() {
--- a/dottereltack-load/dtmodel/router.go
+++ b/dottereltack-load/dtmodel/router.go
@@ -72,12 +72,14 @@
 	r.sim.dropAttempts(r)
 }
 
-// Stop stops the router gracefully; callers still reach it for the grace period.
+// Stop stops the router gracefully; callers still reach it for the grace period, and requests are waited for
+// until the timeout.
 func (r *Router) Stop() {
-	const shutdownGracePeriod = 300 * time.Millisecond
+	const shutdownGracePeriod, shutdownTimeout = 300 * time.Millisecond, 15 * time.Second
 	r.Deliver(dtstate.StopRequested{})
 	incarnation := r.incarnation
 	r.sim.AfterFunc(shutdownGracePeriod, func() { r.deliverTo(incarnation, dtstate.IntakeClosed{}) })
+	r.sim.AfterFunc(shutdownTimeout, func() { r.deliverTo(incarnation, dtstate.DrainTimedOut{}) })
 }
 
 // Pause suspends the router for d and delivers the events of that time afterwards.
--- a/dottereltack/dtgate/exchange.go
+++ b/dottereltack/dtgate/exchange.go
@@ -46,7 +46,7 @@
 }
 
 // responsePart is the next part of the response to a caller: an event of a stream, its
-// end, a complete body, the state of an order or a refusal.
+// end, a complete body, the state of an order, a refusal or nothing more.
 type responsePart struct {
 	event      []byte
 	complete   bool // The stream ended with its end marker.
@@ -55,8 +55,12 @@
 	replayed   bool // The body is the stored response of an order.
 	orderState dtstate.OrderState
 	refusal    *dtstate.Refusal
+	abandoned  bool // The reducer ended before the request did.
 }
 
+// failed reports whether the request ended without a response of a server.
+func (p *responsePart) failed() bool { return p.refusal != nil || p.abandoned }
+
 // nextPart returns the next part of the response. Until one is available, it starts an
 // attempt for each Dispatch effect of the reducer.
 func (x *exchange) nextPart() responsePart {
@@ -74,19 +78,14 @@
 	}
 }
 
-// awaitEffect waits for an effect and applies it, or returns a refusal if the gateway is
-// closing. The result is true if the request has ended.
+// awaitEffect waits for an effect and applies it, or abandons the request if the gateway is closed. The
+// result is true if the request has ended.
 func (x *exchange) awaitEffect() (responsePart, bool) {
 	select {
 	case e := <-x.effects:
 		return x.applyEffect(e)
 	case <-x.gateway.closing:
-		ran := dtstate.NotExecuted
-		if x.attempt > 0 {
-			ran = dtstate.ExecutionUnknown
-		}
-		r := dtstate.Refusal{Request: x.id, Reason: dtstate.ReasonStopping, Ran: ran}
-		return responsePart{refusal: &r}, true
+		return responsePart{abandoned: true}, true
 	}
 }
 
--- a/dottereltack/dtgate/gateway.go
+++ b/dottereltack/dtgate/gateway.go
@@ -66,7 +66,7 @@
 	mu                  sync.Mutex                        // Guards exchanges.
 	exchanges           map[dtstate.RequestID]*exchange
 	lastRequestNumber   atomic.Uint64
-	closing             chan struct{} // Closed by Stop to end requests that are still waiting.
+	closing             chan struct{} // Closed by Close.
 	// Close each caller's connection after its next response.
 	keepAlivesDisabled atomic.Bool
 	wg                 conc.WaitGroup
@@ -129,11 +129,14 @@
 		abandoned = len(g.exchanges)
 		g.mu.Unlock()
 	}
-	close(g.closing)
 	g.wg.Wait()
 	return abandoned
 }
 
+// Close ends the connections of requests that are still waiting. It must be called once the reducer has ended,
+// since what it decides is what callers are told.
+func (g *Gateway) Close() { close(g.closing) }
+
 // Configure sets the configuration for new requests.
 func (g *Gateway) Configure(site *dtconfig.Site) {
 	keys := map[string]string{}
--- a/dottereltack/dtgate/handlers.go
+++ b/dottereltack/dtgate/handlers.go
@@ -149,8 +149,8 @@
 // sendStream sends the response as server-sent events.
 func (g *Gateway) sendStream(c fiber.Ctx, x *exchange, account string) error {
 	p := x.nextPart()
-	if p.refusal != nil {
-		return g.sendRefusal(c, x, p.refusal)
+	if p.failed() {
+		return g.sendFailure(c, x, p.refusal)
 	}
 	if p.body != nil {
 		return g.sendBody(c, x, p)
@@ -199,8 +199,8 @@
 // sendCollected collects a streamed response and sends it as one JSON body.
 func (g *Gateway) sendCollected(c fiber.Ctx, x *exchange, model string) error {
 	text, p := x.collectText()
-	if p.refusal != nil {
-		return g.sendRefusal(c, x, p.refusal)
+	if p.failed() {
+		return g.sendFailure(c, x, p.refusal)
 	}
 	if p.body != nil {
 		return g.sendBody(c, x, p)
@@ -267,8 +267,8 @@
 	}
 	g.submit(ev, x)
 	p := x.nextPart()
-	if p.refusal != nil {
-		return g.sendRefusal(c, x, p.refusal)
+	if p.failed() {
+		return g.sendFailure(c, x, p.refusal)
 	}
 	return g.sendBody(c, x, p)
 }
@@ -299,8 +299,8 @@
 	}
 	g.post(dtstate.OrderQueried{Request: x.id, Account: dtstate.ClientAccount(account), Order: *key})
 	p := x.nextPart()
-	if p.refusal != nil {
-		return g.sendRefusal(c, x, p.refusal)
+	if p.failed() {
+		return g.sendFailure(c, x, p.refusal)
 	}
 	g.endExchange(x, "completed")
 	return c.JSON(dtapi.OrderStatus{Key: key.Key, State: p.orderState.String(), Status: p.status})
--- a/dottereltack/dtgate/refusal.go
+++ b/dottereltack/dtgate/refusal.go
@@ -78,7 +78,13 @@
 	return body
 }
 
-func (g *Gateway) sendRefusal(c fiber.Ctx, x *exchange, r *dtstate.Refusal) error {
+// sendFailure sends a refusal, or closes the connection of an abandoned request, of which the caller is told
+// nothing since no refusal of it is recorded.
+func (g *Gateway) sendFailure(c fiber.Ctx, x *exchange, r *dtstate.Refusal) error {
+	if r == nil {
+		g.endExchange(x, "abandoned")
+		return c.RequestCtx().Conn().Close()
+	}
 	g.endExchange(x, "refused")
 	c.Set(dtapi.HeaderRequestID, string(x.id))
 	c.Set(dtapi.HeaderRouter, g.settings.Router)
@@ -105,11 +111,7 @@
 // records.
 func (g *Gateway) refuseLocally(c fiber.Ctx, x *exchange, account string, reason dtstate.Reason) error {
 	g.post(dtstate.RefusalReported{Request: x.id, Account: dtstate.ClientAccount(account), Reason: reason})
-	p := x.nextPart()
-	if p.refusal == nil {
-		p.refusal = &dtstate.Refusal{Request: x.id, Reason: reason}
-	}
-	return g.sendRefusal(c, x, p.refusal)
+	return g.sendFailure(c, x, x.nextPart().refusal)
 }
 
 // handleError responds to requests that the HTTP library rejected.
--- a/dottereltack/dtrouter/router.go
+++ b/dottereltack/dtrouter/router.go
@@ -111,6 +111,9 @@
 	r.stopping.Store(true)
 	r.Loop.Post(dtstate.StopRequested{})
 	abandoned := r.Gateway.Stop(timeout)
+	if abandoned > 0 {
+		r.Loop.Post(dtstate.DrainTimedOut{})
+	}
 	r.Loop.Post(dtstate.IntakeClosed{})
 	select {
 	case <-r.stopped:
@@ -119,6 +122,7 @@
 	}
 	r.cancel()
 	r.loopGoroutine.Wait()
+	r.Gateway.Close()
 	r.links.Close()
 	r.servers.Close()
 	r.Store.Close()
