a router that starts has no retries that it has not earned

Each start of a router gave three more, so that restarts in a row, each with few requests between them, added up to any number.

Cause: a budget that a restart fills again.

Fix: the budget is empty at first. What a restart forgets is then only credit, and the retries of all routers together stay below the ratio of all answered requests whatever restarts. The price: a router that has answered fewer than eleven requests refuses one that a server has rejected or that was cut with its server; one that could not be sent at all still goes to another server, which is not a retry.

TestRequestThatRunsAtTheEndOfAShutdownIsNotRetried, which used one of the three, is now given a retry.

--- a/core/dtstate/entry.go
+++ b/core/dtstate/entry.go
@@ -19,7 +19,6 @@
 	maxAttempts          = 8
 	maxRetries           = 3
 	maxResumes           = 3 // Of a cut answer at the same server.
-	initialRetryBudget   = 3
 	maxRetryBudget       = 50
 	heartbeatsPerRenewal = 3
 	maxSlotsPerRenewal   = 256
@@ -67,14 +66,13 @@
 // callers are connected to it.
 type EntryState struct {
 	Requests        map[RequestID]*Request
-	RetryBudget     float64 // Retries available now; each completed request adds a fraction of one.
+	RetryBudget     float64 // Retries available now: none at first; each completed request adds a fraction of one.
 	SoundParts      SoundParts
 	lastTimerNumber uint64
 }
 
 func (e *EntryState) init() {
 	e.Requests = map[RequestID]*Request{}
-	e.RetryBudget = initialRetryBudget
 }
 
 // handleRequestArrived admits a caller's request and starts to process it, or refuses it.
--- a/core/dtstate/stop_test.go
+++ b/core/dtstate/stop_test.go
@@ -86,6 +86,7 @@
 	g := NewWithT(t)
 	now := time.UnixMilli(1_700_000_000_000)
 	s := newFleetState(1, 3, 4, 1, now)
+	s.Entry.RetryBudget = 1
 	s.Step(dtstate.RequestArrived{Request: "q", Account: "a", Group: "g-0", Chat: 1, Deadline: now.Add(time.Minute)}, now)
 	s.Step(dtstate.MessageReceived{From: "r-0-1", Message: &dtstate.SlotGrant{Request: "q", Attempt: 1, Server: "s-0"}}, now)
 	s.Step(dtstate.StopRequested{}, now)
