an owner grants no slot of a server that has not reported its load

A router that took over a server, also the same one after a restart, counted no requests there until the first report and granted up to half the last cap, or the cold cap, beside those of its predecessor.

Cause: a count that a restart or a takeover forgets.

Fix: a server that has not yet reported to its owner gets no new requests; they wait in the queue for the probe that the takeover sends. Requests of the predecessor that the report tells of count until their routers renew their slots, as before.

TestRestartedRouterRetriesOnlyWhatItHasEarned now lets its server report first.

--- a/core/dtstate/attempt_test.go
+++ b/core/dtstate/attempt_test.go
@@ -25,6 +25,8 @@
 	now := time.UnixMilli(1_700_000_000_000)
 	for range 3 {
 		s := newFleetState(1, 1, 1, 1, now)
+		s.Step(dtstate.TimerFired{}, now)
+		s.Step(dtstate.ProbeCompleted{Server: "s-0", Result: dtstate.ProbeAnswered, Report: dtstate.ServerReport{Start: 1}}, now)
 		g.Expect(findRefusal(runAttempt(s, 0, dtstate.OutcomeOverloaded, now)).Reason).To(Equal(dtstate.ReasonRetryBudget))
 		const answersPerRetry = 11 // Ten times 0.1 is a little less than one.
 		for i := range answersPerRetry {
--- a/core/dtstate/owner.go
+++ b/core/dtstate/owner.go
@@ -199,7 +199,7 @@
 		}
 		s.forward(g, first, req, now)
 		return true
-	case first.Load.InFlight >= first.Load.Cap, first.awaitsVerdict():
+	case first.Load.InFlight >= first.Load.Cap, first.awaitsNews():
 		return false
 	}
 	s.grantSlot(g, first, req, now)
--- a/core/dtstate/place.go
+++ b/core/dtstate/place.go
@@ -161,7 +161,7 @@
 // here.
 func (s *State) admits(g *ServerGroup, sv *BackendServer, p *placement) bool {
 	l := &sv.Load
-	if l.Flags&FlagDown != 0 || sv.Draining || containsServer(p.TriedServers, sv.ID) || sv.awaitsVerdict() {
+	if l.Flags&FlagDown != 0 || sv.Draining || containsServer(p.TriedServers, sv.ID) || sv.awaitsNews() {
 		return false
 	}
 	limit := classCap(l.Cap, p.Class)
--- a/core/dtstate/server.go
+++ b/core/dtstate/server.go
@@ -51,6 +51,7 @@
 	Successes         uint32 // Completed answers that were not slow since Cap was last changed.
 	Cold              bool
 	Down              bool
+	Reported          bool // The server has reported its load to this owner; until then it gets no new requests.
 	MissedProbes      int
 	SlowFirstBytes    int
 	FirstByteBaseline time.Duration // Moving average of the waits for the first byte that were not slow.
@@ -62,10 +63,10 @@
 	lastSentLoad      ServerLoad // Load in the last report to other owners.
 }
 
-// awaitsVerdict reports whether a cut attempt awaits its verdict; until then the server
-// gets no new requests.
-func (b *BackendServer) awaitsVerdict() bool {
-	return b.Owned != nil && len(b.Owned.AwaitingVerdict) > 0
+// awaitsNews reports whether the owner waits for the server's first report, or a cut attempt for its verdict;
+// until then the server gets no new requests.
+func (b *BackendServer) awaitsNews() bool {
+	return b.Owned != nil && (!b.Owned.Reported || len(b.Owned.AwaitingVerdict) > 0)
 }
 
 // coldMaxInFlight returns the cap of a cold server of a group.
@@ -212,6 +213,7 @@
 func (s *State) applyReport(sv *BackendServer, r ServerReport, now time.Time) {
 	owned := sv.Owned
 	owned.MissedProbes = 0
+	owned.Reported = true
 	s.setDown(sv, false)
 	if owned.Start != 0 && owned.Start != r.Start && owned.HandledCrashStart != owned.Start {
 		s.handleServerCrash(sv, now)
