an entry router tells the owner of crashes that it knows of

Two servers at most die with a request (poison). An owner that had just started did not know of the first crash yet, and the entry router, which did, told it only of crashes in this request's own attempts. The owner placed the request like any other, so that a second and, with its one retry, a third server crashed.

Cause: a count that a restart forgets.

Evidence: TestOwnerIsToldOfKnownCrashes failed before: the slot request told of 0 crashes where 1 was known.

Fix: a slot request carries the larger of the request's own crashes and those known of its digest, as it already does from owner to owner.

--- a/core/dtstate/attempt_test.go
+++ b/core/dtstate/attempt_test.go
@@ -37,3 +37,18 @@
 		now = now.Add(time.Second)
 	}
 }
+
+// An owner that has restarted does not know which requests have crashed servers, so that a third server crashes
+// unless the entry router tells it.
+func TestOwnerIsToldOfKnownCrashes(t *testing.T) {
+	g := NewWithT(t)
+	now := time.UnixMilli(1_700_000_000_000)
+	s := newFleetState(1, 3, 4, 1, now)
+	const digest = 7
+	crash := dtstate.CrashRecord{Digest: digest, Server: "s-0", AtMs: uint64(now.UnixMilli())}
+	s.Step(dtstate.MessageReceived{From: "r-0-1", Message: &dtstate.Gossip{Announcements: []dtstate.Announcement{{Crash: &crash}}}}, now)
+	effects := s.Step(dtstate.RequestArrived{Request: "q", Account: "a", Group: "g-0", Digest: digest, Deadline: now.Add(time.Minute)}, now)
+	req, _ := slotRequestIn(effects)
+	g.Expect(req).NotTo(BeNil())
+	g.Expect(req.Crashes).To(BeEquivalentTo(1))
+}
--- a/core/dtstate/entry.go
+++ b/core/dtstate/entry.go
@@ -164,7 +164,7 @@
 		EntryRouter: s.Settings.Self, Request: r.Request, Attempt: r.Attempt, Account: r.Account,
 		Group: r.Group, Chat: r.Chat, Digest: r.Digest, Class: r.Class, Work: r.Work,
 		RemainingMs: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)),
-		Crashes:     r.Crashes, TriedServers: r.TriedServers,
+		Crashes:     max(r.Crashes, s.crashCount(r.Digest)), TriedServers: r.TriedServers,
 	}
 }
 
