dtdispatch: retries count for the whole retry window

Callers of a service whose servers fail in bursts 9 to 10 s apart got more retries within one retry window than the fleet may make: each router forgot a burst up to a tenth of the window too early, because the newest of the ten buckets is only partly over.

The window of retries is now longer than the retry window by one bucket, and has 20 of them, so that it covers at least the whole of it. The window of requests stays as it was: fewer requests allow fewer retries.

--- a/core/dtdispatch/budget.go
+++ b/core/dtdispatch/budget.go
@@ -11,9 +11,10 @@
 // deviations must stay within the bound.
 const coldBudgetShare = 0.5
 
-const windowBuckets = 10
+const windowBuckets = 20
 
-// Window counts events over a sliding time window.
+// Window counts events over a sliding time window. Since the newest bucket is only partly over, it covers
+// between 19/20 of its length and its length.
 type Window struct {
 	Length       time.Duration
 	Counts       [windowBuckets]int
@@ -72,15 +73,18 @@
 
 // NewRetryBudget returns a budget over the retry window of b.
 func NewRetryBudget(b Bounds) *RetryBudget {
-	return &RetryBudget{Requests: Window{Length: b.RetryWindow}, Retries: Window{Length: b.RetryWindow}}
+	return &RetryBudget{Requests: Window{Length: b.RetryWindow}, Retries: Window{Length: coveringLength(b.RetryWindow)}}
 }
 
 // Resize changes the length of the window over which retries are limited.
 func (r *RetryBudget) Resize(window time.Duration, now time.Time) {
 	r.Requests.Resize(window, now)
-	r.Retries.Resize(window, now)
+	r.Retries.Resize(coveringLength(window), now)
 }
 
+// coveringLength returns the length of a Window that covers at least d.
+func coveringLength(d time.Duration) time.Duration { return d * windowBuckets / (windowBuckets - 1) }
+
 // Usage returns what has been counted and what is allowed; the slack is divided among the routers.
 func (r *RetryBudget) Usage(b Bounds, routers int, now time.Time) RetryUsage {
 	u := RetryUsage{Requests: r.Requests.Sum(now), Retries: r.Retries.Sum(now)}
--- /dev/null
+++ b/core/dtdispatch/retrybudget_test.go
@@ -0,0 +1,132 @@
+package dtdispatch_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
+)
+
+// retryFleet counts the requests for one service and their retries at all routers of a fleet.
+type retryFleet struct {
+	*fleet
+	t        *testing.T
+	names    []string
+	next     int
+	requests []time.Time
+	retries  []time.Time
+}
+
+// retryTick is the interval between two requests.
+const retryTick = 50 * time.Millisecond
+
+func newRetryFleet(t *testing.T, routers int) *retryFleet {
+	t.Helper()
+	f := &retryFleet{fleet: newFleet(t), t: t}
+	for i := range routers {
+		name := fmt.Sprintf("r%d", i)
+		f.names = append(f.names, name)
+		f.routers[name] = newEmptyRouter(t, name)
+	}
+	f.run(5*time.Second, f.names...)
+	return f
+}
+
+func (f *retryFleet) now() time.Time { return f.routers[f.names[0]].now }
+
+// play sends perTick requests each retryTick for d to the routers in turn; their attempts fail if fails is set.
+// onTick is called before each tick with the time since the start, unless it is nil.
+func (f *retryFleet) play(d time.Duration, perTick int, fails bool, onTick func(at time.Duration)) {
+	f.t.Helper()
+	for at := time.Duration(0); at < d; at += retryTick {
+		if onTick != nil {
+			onTick(at)
+		}
+		for range perTick {
+			f.call(fails)
+		}
+		f.run(retryTick, f.names...)
+		f.keepTime()
+	}
+}
+
+// keepTime advances the clocks of the routers that are down.
+func (f *retryFleet) keepTime() {
+	for name, r := range f.routers {
+		if f.down[name] {
+			r.now = r.now.Add(retryTick)
+		}
+	}
+}
+
+// call sends a request to the next router that is up, and has its attempts end.
+func (f *retryFleet) call(fails bool) {
+	for range f.names {
+		f.next++
+		name := f.names[f.next%len(f.names)]
+		if f.down[name] {
+			continue
+		}
+		r := f.routers[name]
+		f.requests = append(f.requests, r.now)
+		n := r.sendRequest("/read/x")
+		for attempt := 1; len(effectsOf[dtdispatch.SendRequest](r.effects)) > 0; attempt++ {
+			if attempt > 1 {
+				f.retries = append(f.retries, r.now)
+			}
+			if !fails {
+				r.endAttempt(n, attempt, dtdispatch.OutcomeCompleted)
+				return
+			}
+			r.endAttempt(n, attempt, dtdispatch.OutcomeFailure, func(ev *dtdispatch.AttemptEnded) { ev.Status = 500 })
+		}
+		return
+	}
+}
+
+// count returns the number of times in the half-open interval of the given length from start.
+func count(times []time.Time, start time.Time, length time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(start) && at.Before(start.Add(length)) {
+			n++
+		}
+	}
+	return n
+}
+
+// expectWithinBounds checks the retries in each retry window against those that the bounds allow for the requests
+// in it, in the one before it or in the one half a window before it.
+func (f *retryFleet) expectWithinBounds() {
+	f.t.Helper()
+	g := NewWithT(f.t)
+	g.Expect(f.retries).NotTo(BeEmpty())
+	worst, limit, at := 0, math.Inf(1), time.Duration(0)
+	length := bounds.RetryWindow
+	for start := f.requests[0].Add(-length); start.Before(f.requests[len(f.requests)-1]); start = start.Add(retryTick) {
+		requests := max(count(f.requests, start, length), count(f.requests, start.Add(-length), length), count(f.requests, start.Add(-length/2), length))
+		allowed, retries := bounds.RetryRatio*float64(requests)+bounds.RetrySlack, count(f.retries, start, length)
+		if float64(retries)-allowed > float64(worst)-limit {
+			worst, limit, at = retries, allowed, start.Sub(f.requests[0])
+		}
+	}
+	f.t.Logf("%d retries of %.1f in the worst window, from %s", worst, limit, at)
+	g.Expect(float64(worst)).To(BeNumerically("<=", limit), "retries in the window from %s", at)
+}
+
+// TestBurstsOfRetriesAreOneWindowApart guards against two bursts of retries within one retry window.
+func TestBurstsOfRetriesAreOneWindowApart(t *testing.T) {
+	f := newRetryFleet(t, 2)
+	for _, ms := range []int{9000, 9100, 9500, 9900, 9600, 9600, 9600, 9600} { // Begins within a bucket as well as with one.
+		pause := time.Duration(ms) * time.Millisecond
+		f.play(20*time.Second, 4, false, nil)
+		f.play(100*time.Millisecond, 400, true, nil)
+		f.play(pause-100*time.Millisecond, 4, false, nil)
+		f.play(100*time.Millisecond, 400, true, nil)
+	}
+	f.expectWithinBounds()
+}
