dtdispatch: budgets are shared by all known routers, not by those heard just now

On a fleet of seven whose routers were cut from each other for over 30 s, callers got more retries than the fleet may make. Each router divided the slack of the retry budget by the number of routers that it had heard within 30 s: one that had just started and had heard one other took half of it, and each side of a cut all of it.

A router now counts for the budgets while it is listed in the store or was listed or heard within 30 s, and only a list that has been read removes one, so that nobody leaves while the store is away. Until a first list, at least eight are assumed. A router that has read no list for a while and does not hear all that it knows uses no slack, since others may share it without this router. No call to the store is added. Small and large fleets count alike. The same count divides cold budgets, the rates that servers name and idle connections.

--- a/core/dtdispatch/availability.go
+++ b/core/dtdispatch/availability.go
@@ -68,7 +68,7 @@
 	if rate <= 0 {
 		return Availability{}
 	}
-	if s.coldBudget(server, now).HasRoom(rate, s.Settings.Bounds, s.RouterCount(now), now) {
+	if s.coldBudget(server, now).HasRoom(rate, s.Settings.Bounds, s.RouterCount(), now) {
 		return Availability{}
 	}
 	return Availability{Block: BlockCold, Until: now.Add(retryAfterBusy)} // Another router may send one sooner.
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -33,6 +33,7 @@
 	recordWrites int
 	unlisted     map[string]bool // Routers whose entries in the store have lapsed.
 	isolated     map[string]bool // Routers whose messages, from and to, are lost.
+	sides        map[string]int  // Messages between routers of different sides are lost.
 	dropsRosters bool            // Lists of servers that routers send each other are lost.
 	onForward    func(name string, n dtdispatch.RequestNumber)
 	onSend       func(name string, send *dtdispatch.SendRequest)
@@ -122,7 +123,7 @@
 			f.routers[from].Expect(err).NotTo(HaveOccurred())
 			f.perform(from, f.routers[from].step(dtdispatch.ConfigReceived{Config: testConfig(version)}))
 		case dtdispatch.ListRouters:
-			if f.store != nil {
+			if f.store != nil && !f.rejected[from] {
 				f.perform(from, f.routers[from].step(f.routersListed()))
 			}
 		case dtdispatch.ReadVersionRecord:
@@ -230,7 +231,7 @@
 		}
 		f.messagesSent[from]++
 		f.bytesSent[from] += len(encoded)
-		if !f.down[name] && !f.isolated[name] && !f.isolated[from] {
+		if !f.down[name] && !f.isolated[name] && !f.isolated[from] && f.sides[name] == f.sides[from] {
 			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: e.Message}))
 		}
 	}
--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -50,9 +50,13 @@
 type Membership struct {
 	ListedRouters   map[string]Router // By name, as in the last list.
 	UnlistedRouters map[string]Router // Routers heard from but missing from the last list.
-	ListCount       int
-	NextListAt      time.Time
-	RetainUntil     time.Time // Until then routers are kept that are missing from a list.
+	// When each router that shares the fleet's budgets was last listed or heard from. A router may be
+	// removed only by a list, since one that is cut off goes on to use its share.
+	LastSeen    map[string]time.Time
+	ListedAt    time.Time // When the last list was read.
+	ListCount   int
+	NextListAt  time.Time
+	RetainUntil time.Time // Until then routers are kept that are missing from a list.
 
 	delegates     map[string][]string // By failure domain, in order of precedence.
 	linkAddresses map[string]string   // Addresses of the requested links, by router name.
@@ -70,13 +74,16 @@
 	}
 	for _, router := range ev.Routers {
 		m.ListedRouters[router.Name] = router
+		m.see(router.Name, now)
 		delete(m.UnlistedRouters, router.Name)
 	}
+	maps.DeleteFunc(m.LastSeen, func(_ string, at time.Time) bool { return now.Sub(at) >= peerTimeout })
 	maps.DeleteFunc(m.UnlistedRouters, func(name string, _ Router) bool {
 		return now.Sub(s.Peers.ByName[name].LastHeardAt) > unlistedRouterRetention
 	})
 	m.delegates = m.delegatesByDomain()
 	m.ListCount++
+	m.ListedAt = now
 	m.NextListAt = now.Add(m.routerListInterval())
 	s.updateLinks()
 }
@@ -85,9 +92,22 @@
 	if m.ListCount < startupRouterListCount {
 		return startupRouterListInterval
 	}
+	return m.steadyListInterval()
+}
+
+// steadyListInterval is the interval at which a router reads the list once it has been running for a while.
+func (m *Membership) steadyListInterval() time.Duration {
 	return max(minRouterListInterval, time.Duration(len(m.ListedRouters))*routerListIntervalPerRouter)
 }
 
+// see records that a router has been listed or heard from.
+func (m *Membership) see(name string, now time.Time) {
+	if m.LastSeen == nil {
+		m.LastSeen = map[string]time.Time{}
+	}
+	m.LastSeen[name] = now
+}
+
 // addUnlistedRouter records a router that has sent a status and is not listed yet.
 func (s *State) addUnlistedRouter(status *PeerStatus) {
 	m := &s.Membership
@@ -170,19 +190,12 @@
 	s.emit(ListRouters{})
 }
 
-// routerNames returns the names of the routers that share the fleet's budgets, this one included.
-func (s *State) routerNames(now time.Time) []string {
+// routerNames returns the names of the routers that are known to share the fleet's budgets, this one
+// included.
+func (s *State) routerNames() []string {
 	names := []string{s.Settings.RouterName}
-	if s.Membership.IsLarge() {
-		for name := range s.Membership.ListedRouters {
-			if name != s.Settings.RouterName {
-				names = append(names, name)
-			}
-		}
-		return names
-	}
-	for name, peer := range s.Peers.ByName {
-		if now.Sub(peer.LastHeardAt) < peerTimeout {
+	for name := range s.Membership.LastSeen {
+		if name != s.Settings.RouterName {
 			names = append(names, name)
 		}
 	}
@@ -190,8 +203,8 @@
 }
 
 // logRouterCount logs that the number of routers has changed by which the fleet's budgets are divided.
-func (s *State) logRouterCount(now time.Time) {
-	n := s.RouterCount(now)
+func (s *State) logRouterCount() {
+	n := s.RouterCount()
 	if n == s.BudgetRouters {
 		return
 	}
@@ -199,10 +212,30 @@
 	s.emit(LogRecord{Event: "budget_routers", RouterCount: n})
 }
 
-// RouterCount returns the number of routers that share the fleet's budgets.
-func (s *State) RouterCount(now time.Time) int {
-	if s.Membership.IsLarge() {
-		return len(s.Membership.ListedRouters)
+// isCutOff reports whether other routers may have ceased to count this one: it has read no list of them for a
+// while, and does not hear all of them.
+func (s *State) isCutOff(now time.Time) bool {
+	m := &s.Membership
+	timeout := max(peerTimeout-coveringLength(s.Settings.Bounds.RetryWindow), 2*m.steadyListInterval())
+	if now.Sub(m.ListedAt) < timeout {
+		return false
+	}
+	for name := range m.LastSeen {
+		if name != s.Settings.RouterName && now.Sub(s.Peers.ByName[name].LastHeardAt) >= timeout {
+			return true
+		}
+	}
+	return m.ListCount == 0
+}
+
+// RouterCount returns the number of routers that share the fleet's budgets, this one included.
+func (s *State) RouterCount() int {
+	n := len(s.Membership.LastSeen)
+	if _, isSeen := s.Membership.LastSeen[s.Settings.RouterName]; !isSeen {
+		n++
+	}
+	if s.Membership.ListCount == 0 {
+		return max(n, defaultRouterCount)
 	}
-	return s.Peers.RouterCount(now)
+	return n
 }
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -12,7 +12,7 @@
 	maxReaderStatusInterval = 500 * time.Millisecond // Half of statusRepeatInterval, so that this is kept.
 	statusIntervalPerPeer   = 15 * time.Millisecond  // In a larger fleet, each router sends less often.
 	statusRepeatInterval    = time.Second            // Interval at which an unchanged status is repeated.
-	peerTimeout             = 30 * time.Second       // Time for which a silent peer keeps its share of the budgets.
+	peerTimeout             = 30 * time.Second       // Time for which a silent, unlisted peer keeps its share of the budgets.
 	syncRetryInterval       = 500 * time.Millisecond // Interval at which an unanswered SyncRequest is repeated.
 	// A server takes about 80 bytes in a RosterReply, so replies take at most a fifth of a 10
 	// Mbit/s link, the slowest one supported.
@@ -20,7 +20,7 @@
 	// Time for which statuses of an earlier incarnation are ignored. It is bounded because a
 	// router may restart with its clock set back.
 	staleStatusPeriod = 3 * time.Second
-	// Number of routers assumed to share the budgets until a peer is heard from.
+	// Least number of routers assumed to share the budgets until a list of them has been read.
 	defaultRouterCount = 8
 )
 
@@ -105,21 +105,6 @@
 	RosterHash  uint64 // Of its list of servers, as of its last status.
 }
 
-// RouterCount returns the number of routers that share the fleet's budgets, including this one,
-// or defaultRouterCount if no peer has been heard from within peerTimeout.
-func (p *Peers) RouterCount(now time.Time) int {
-	n := 1
-	for _, peer := range p.ByName {
-		if now.Sub(peer.LastHeardAt) < peerTimeout {
-			n++
-		}
-	}
-	if n == 1 {
-		return defaultRouterCount
-	}
-	return n
-}
-
 // NextStatusTime returns the time when the next status is due.
 func (p *Peers) NextStatusTime() time.Time { return p.NextStatusAt }
 
@@ -163,6 +148,7 @@
 		return // A delayed status of an earlier incarnation.
 	}
 	p.ByName[status.From] = Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash}
+	s.Membership.see(status.From, now)
 	s.addUnlistedRouter(status)
 	if !s.Membership.IsLarge() {
 		s.updatePeerLoads(status, now)
--- a/core/dtdispatch/ratelimit.go
+++ b/core/dtdispatch/ratelimit.go
@@ -116,7 +116,7 @@
 	}
 	rate.refill(now)
 	if now.Sub(rate.ShareSetAt) >= rateShareInterval {
-		rate.Share = shareRate(rate.Limit, server, s.Settings.RouterName, s.routerNames(now), s.RouterCount(now))
+		rate.Share = shareRate(rate.Limit, server, s.Settings.RouterName, s.routerNames(), s.RouterCount())
 		rate.ShareSetAt = now
 	}
 	return rate
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -89,7 +89,7 @@
 func (s *State) countColdRequest(server *Server, now time.Time) {
 	rate := s.Config.Services[server.Service].ColdRate
 	if rate > 0 && now.Before(server.ColdUntil) {
-		s.coldBudget(server, now).CountRequest(rate, s.Settings.Bounds, s.RouterCount(now), now)
+		s.coldBudget(server, now).CountRequest(rate, s.Settings.Bounds, s.RouterCount(), now)
 	}
 }
 
@@ -122,7 +122,7 @@
 // maxIdleConns returns how many idle connections this router may keep to one server.
 func (s *State) maxIdleConns(r *Request, now time.Time) int {
 	maxConns := s.Config.Services[r.Service].MaxConnections
-	return max(maxConns/(idleConnsDivisor*s.RouterCount(now)), 1)
+	return max(maxConns/(idleConnsDivisor*s.RouterCount()), 1)
 }
 
 // handleResponseStarted applies the load report from the response header and records which
@@ -293,9 +293,10 @@
 
 // takeRetry counts a retry if the budget of the service has room for it.
 func (s *State) takeRetry(r *Request, now time.Time) bool {
-	budget, routers := s.retryBudget(r.Service), s.RouterCount(now)
-	usage := budget.Usage(s.Settings.Bounds, routers, now)
-	isAllowed := budget.Take(s.Settings.Bounds, routers, now)
+	budget, routers := s.retryBudget(r.Service), s.RouterCount()
+	bounds := s.retryBounds(now)
+	usage := budget.Usage(bounds, routers, now)
+	isAllowed := budget.Take(bounds, routers, now)
 	outcome := "allowed"
 	if !isAllowed {
 		outcome = ReasonRetryBudget.String()
@@ -352,7 +353,7 @@
 	delete(s.Requests, r.Number)
 	record := LogRecord{
 		Event: "request", RequestID: r.ID, Stream: r.stream(), Subject: string(r.Server), Version: r.ServerVersion, Outcome: outcome, Status: status, Attempt: r.Attempt,
-		Elapsed: now.Sub(r.ArrivedAt), Account: r.Account, Placement: r.Placement, RouterCount: s.RouterCount(now),
+		Elapsed: now.Sub(r.ArrivedAt), Account: r.Account, Placement: r.Placement, RouterCount: s.RouterCount(),
 	}
 	if s.Config != nil {
 		record.ConfigVersion = s.Config.Version
--- a/core/dtdispatch/request_test.go
+++ b/core/dtdispatch/request_test.go
@@ -330,7 +330,7 @@
 		}, false},
 		"the other is full": {[]string{"v1", "v1"}, func(r *router) { full(r, "s1") }, false},
 		"the retry budget is used up": {[]string{"v1", "v1"}, func(r *router) {
-			for r.state.RetryBudgets["a"].Take(r.state.Settings.Bounds, r.state.RouterCount(r.now), r.now) {
+			for r.state.RetryBudgets["a"].Take(r.state.Settings.Bounds, r.state.RouterCount(), r.now) {
 				continue
 			}
 		}, false},
--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -88,6 +88,8 @@
 	}
 }
 
+func (f *retryFleet) kill(name string) { f.down[name] = true }
+
 // count returns the number of times in the half-open interval of the given length from start.
 func count(times []time.Time, start time.Time, length time.Duration) int {
 	n := 0
@@ -118,6 +120,69 @@
 	g.Expect(float64(worst)).To(BeNumerically("<=", limit), "retries in the window from %s", at)
 }
 
+// TestRoutersThatAreCutOffTakeTheSharesOfOthers guards against routers that divide the budgets by the number of those that
+// they still hear.
+func TestRoutersThatAreCutOffTakeTheSharesOfOthers(t *testing.T) {
+	newDividedFleet := func(t *testing.T) *retryFleet {
+		t.Helper()
+		f := newRetryFleet(t, 7)
+		f.sides = map[string]int{}
+		for i, name := range f.names {
+			f.sides[name] = i / 2
+		}
+		return f
+	}
+	t.Run("the store can be read", func(t *testing.T) {
+		f := newDividedFleet(t)
+		f.play(50*time.Second, 2, true, nil)
+		f.expectWithinBounds()
+		for _, name := range f.names {
+			NewWithT(t).Expect(f.routers[name].state.RouterCount()).To(Equal(7))
+		}
+	})
+	t.Run("the store is away", func(t *testing.T) {
+		f := newDividedFleet(t)
+		f.store = nil
+		f.play(50*time.Second, 2, true, nil)
+		f.expectWithinBounds()
+	})
+	t.Run("the store is on one side", func(t *testing.T) {
+		f := newDividedFleet(t)
+		f.rejected, f.unlisted = map[string]bool{}, map[string]bool{}
+		for _, name := range f.names[2:] {
+			f.rejected[name], f.unlisted[name] = true, true
+		}
+		f.play(60*time.Second, 1, true, nil)
+		f.expectWithinBounds()
+		NewWithT(t).Expect(f.routers["r0"].state.RouterCount()).To(Equal(2))
+	})
+}
+
+// TestOutageOfTheStoreEndsRetries guards against routers that hear each other and take the slack for lost during an outage of the store.
+func TestOutageOfTheStoreEndsRetries(t *testing.T) {
+	f := newRetryFleet(t, 3)
+	f.store = nil
+	f.run(2*time.Minute, f.names...)
+	f.play(time.Second, 1, true, nil)
+	NewWithT(t).Expect(f.retries).To(HaveLen(20))
+}
+
+// TestRouterThatHasLeftKeepsItsShare guards against a fleet that has become smaller and never uses its whole budget again.
+func TestRouterThatHasLeftKeepsItsShare(t *testing.T) {
+	f := newRetryFleet(t, 4)
+	f.kill("r3")
+	f.run(40*time.Second, "r0", "r1", "r2")
+	NewWithT(t).Expect(f.routers["r0"].state.RouterCount()).To(Equal(3))
+}
+
+// TestUnlistedRouterLosesItsShare guards against a router whose entry in the store has lapsed and that goes on to retry.
+func TestUnlistedRouterLosesItsShare(t *testing.T) {
+	f := newRetryFleet(t, 4)
+	f.unlisted = map[string]bool{"r3": true}
+	f.run(40*time.Second, f.names...)
+	NewWithT(t).Expect(f.routers["r0"].state.RouterCount()).To(Equal(4))
+}
+
 // TestBurstsOfRetriesAreOneWindowApart guards against two bursts of retries within one retry window.
 func TestBurstsOfRetriesAreOneWindowApart(t *testing.T) {
 	f := newRetryFleet(t, 2)
--- a/core/dtdispatch/silence.go
+++ b/core/dtdispatch/silence.go
@@ -33,7 +33,7 @@
 		return false
 	case s.Crashes.Block(r.Digest, r.PromptParts).IsActive(now):
 		return false
-	case !s.retryBudget(r.Service).HasRoom(s.Settings.Bounds, s.RouterCount(now), now):
+	case !s.retryBudget(r.Service).HasRoom(s.retryBounds(now), s.RouterCount(), now):
 		return false
 	}
 	servers := s.eligibleServers(r, s.Roster.ByService[r.Service], now)
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -88,7 +88,7 @@
 	settings.Bounds = settings.Bounds.withDefaults()
 	return &State{
 		Settings:     settings,
-		Membership:   Membership{NextListAt: now.Add(initialRouterListDelay)},
+		Membership:   Membership{NextListAt: now.Add(initialRouterListDelay), ListedAt: now}, // A router that has just started is not cut off.
 		Peers:        Peers{NextStatusAt: now.Add(minStatusInterval)},
 		Loads:        map[ServerID]*ServerLoad{},
 		Health:       map[ServerID]*ServerHealth{},
@@ -271,7 +271,7 @@
 
 func (s *State) handleTimerFired(now time.Time) {
 	s.timerAt = time.Time{}
-	s.logRouterCount(now)
+	s.logRouterCount()
 	s.continueShutdown(now)
 	s.listRoutersIfDue(now)
 	s.sendStatusIfDue(now)
@@ -301,6 +301,16 @@
 	return getOrCreate(s.DomainHealth, domain, func() *DomainHealth { return &DomainHealth{} })
 }
 
+// retryBounds returns the bounds with what this router may use of them at present. Others share the slack without
+// it once it has been cut off.
+func (s *State) retryBounds(now time.Time) Bounds {
+	b := s.Settings.Bounds
+	if s.isCutOff(now) {
+		b.RetrySlack = 0
+	}
+	return b
+}
+
 func (s *State) retryBudget(service string) *RetryBudget {
 	return getOrCreate(s.RetryBudgets, service, func() *RetryBudget { return NewRetryBudget(s.Settings.Bounds) })
 }
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -248,7 +248,7 @@
 func (s *State) handleVersionRecordWritten(ev VersionRecordWritten, now time.Time) {
 	next := now
 	if ev.Part == PartExceptions {
-		next = now.Add(minExceptionGap + time.Duration(s.RouterCount(now))*exceptionGapPerPeer)
+		next = now.Add(minExceptionGap + time.Duration(s.RouterCount())*exceptionGapPerPeer)
 	}
 	v := &s.StreamVersions
 	v.write(ev.Part).Succeed(next)
