streams whose requests were long under way do not mix versions

Cause: the time of a stream is worked out from what is left of its caller's time when the request has been read, so that it is late by as long as the request was under way; only 0.25 s were allowed for. A stream that begins 1 to 2 s late, after a change of the mix, begins by the later mix; taken up in time elsewhere, it goes on by the earlier one, with certainty. Its exception was listed, but not held, and was lost with the router, or while that could not reach the store. Evidence: TestRequestLongUnderWayDoesNotMixVersions failed before in 9 of 12 cases (late where the stream begins, and 2 s late where it is taken up). Change: callers allow a second for the connection and another until their request has been read (Answers, in the users' protocol). The router that takes a stream up is certain only if all mixes within these 2 s, before and after, agree; streams are listed as long after a change as others need that to go on. Why it works: whatever delays up to 2 s the two requests had, the time by which the stream began is in the range that the other looks at.

--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -49,7 +49,7 @@
 		return
 	}
 	isRegular := !isException && (len(history.Mixes) == 1 || s.followsList(now)) && history.isVersionSince(r.StreamTime.Add(-recordedSkew), r, version)
-	if isRegular && history.isVersionSince(later(r.StreamTime.Add(-s.maxFollowedAge()-recordedSkew), history.KnownSince), r, version) {
+	if isRegular && history.isVersionSince(later(r.StreamTime.Add(-maxTransit-s.maxFollowedAge()-recordedSkew), history.KnownSince), r, version) {
 		return
 	}
 	v.ExceptionSeq++
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -14,6 +14,10 @@
 // asked, and the same for all its requests. Streams that had to begin at another version are listed one by
 // one. Where two versions are possible, the request is refused.
 
+// maxTransit is how long a request may be under way to a router, which makes the time of its stream late by as much:
+// callers allow a second for the connection, and another until the request has been read.
+const maxTransit = 2 * time.Second
+
 // maxExceptions is the number of streams that are listed one by one.
 const maxExceptions = 4096
 
@@ -94,11 +98,11 @@
 		return now.Add(-maxStreamAge), now
 	}
 	deadline := ev.HeaderReadAt.Add(ev.CallerTimeout)
-	to = deadline.Add(mixSkew - timeouts.Min)
+	to = deadline.Add(maxTransit + mixSkew - timeouts.Min)
 	if to.After(now) {
 		to = now
 	}
-	return deadline.Add(-timeouts.Max - mixSkew), to
+	return deadline.Add(-timeouts.Max - maxTransit - mixSkew), to
 }
 
 // updateVersions applies a change of the servers that may get requests.
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -76,6 +76,7 @@
 	begun   []begunStream
 	held    map[string]begunStream // Streams of which their callers have nothing yet, by router and number.
 	waits   time.Duration          // How long its callers wait.
+	transit time.Duration          // How long requests are under way.
 	areOpen bool                   // Its streams do not end.
 	lastID  int
 }
@@ -122,7 +123,7 @@
 		r := f.routers[name]
 		number := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = id, f.waits })
 		send := r.onlySend()
-		stream := begunStream{id: id, version: r.versionOf(send.Server), at: r.now}
+		stream := begunStream{id: id, version: r.versionOf(send.Server), at: r.now.Add(-f.transit)}
 		if send.HoldStream {
 			f.held[fmt.Sprint(name, number)] = stream
 		} else {
@@ -162,7 +163,7 @@
 		r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) {
 			ev.ID = stream.id + "-again"
 			ev.ResumeAfter, ev.ResumesID = "3", stream.id
-			ev.CallerTimeout = f.waits - r.now.Sub(stream.at)
+			ev.CallerTimeout = f.waits - r.now.Sub(stream.at) + f.transit
 		})
 		f.perform(name, append([]dtdispatch.Effect(nil), r.effects...))
 		for _, send := range effectsOf[dtdispatch.SendRequest](r.effects) {
@@ -402,6 +403,61 @@
 	}
 }
 
+// TestRequestLongUnderWayDoesNotMixVersions guards against the time of a stream that is late at one of two routers, as after
+// lost packets: the mix has changed since its caller asked, and the exception was lost with the router.
+func TestRequestLongUnderWayDoesNotMixVersions(t *testing.T) {
+	for _, transit := range []time.Duration{time.Second, 1500 * time.Millisecond, 2 * time.Second} {
+		for _, sinceChange := range []time.Duration{500 * time.Millisecond, 750 * time.Millisecond, 1250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("begin %s late, %s after a change", transit, sinceChange), func(t *testing.T) {
+				f := newStreamsOfTwoVersions(t)
+				f.areOpen = true
+				f.setVersions("v1", "v2", "v2", "v2")
+				f.run(sinceChange, f.names...)
+				f.transit = transit
+				f.begin(60)
+				f.Expect(len(f.begun)).To(BeNumerically(">", 20))
+				f.restart(t, f.names...)
+				f.transit = 0
+				f.takeUp() // It fails if one goes on at another version.
+			})
+		}
+		t.Run(fmt.Sprintf("taken up %s late", transit), func(t *testing.T) {
+			f := newStreamsOfTwoVersions(t)
+			f.begin(60)
+			f.run(50*time.Millisecond, f.names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(transit+50*time.Millisecond, f.names...)
+			f.transit = transit
+			f.takeUp() // It fails if one goes on at another version.
+		})
+	}
+}
+
+// TestStreamsSecondsAfterAChangeGoOn guards against streams that are refused since their requests may have been under way
+// when the mix changed, though they have been recorded.
+func TestStreamsSecondsAfterAChangeGoOn(t *testing.T) {
+	for _, sinceChange := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		t.Run(sinceChange.String(), func(t *testing.T) {
+			f := newStreamsOfTwoVersions(t)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(sinceChange, f.names...)
+			f.begin(60)
+			f.run(500*time.Millisecond, f.names...)
+			f.restart(t, f.names...)
+			f.Expect(f.takeUp()).To(Equal(60))
+		})
+	}
+}
+
+// newStreamsOfTwoVersions returns a fleet that has had servers of two versions for some seconds.
+func newStreamsOfTwoVersions(t *testing.T) *streams {
+	t.Helper()
+	f := newStreams(t, "r1", "r2", "r3")
+	f.setVersions("v1", "v1", "v1", "v2")
+	f.run(5*time.Second, f.names...)
+	return f
+}
+
 // TestStreamBegunJustBeforeAKillGoesOnAtItsVersion guards against streams of two versions: a router is killed right
 // after streams have begun elsewhere than others would work out, before the store has that.
 func TestStreamBegunJustBeforeAKillGoesOnAtItsVersion(t *testing.T) {
