dtdispatch: streams of a server that has restarted with other software

Callers saw one stream with events of two software versions: a server came back under its ID with another version, and until its new entry had been read, routers took its streams for those of the former version, and sent it streams of that version to go on with.

Cause: the version of a server was that of the last list, whatever had happened to its connections since.

Now a router notes when a server is down, and tells the others. The first event of a resumable stream that comes over a connection opened since is held until a list read 0.3 s after that shows the same incarnation, for 1.5 s at most. A stream that goes on is held, too, if the server has dropped a connection or had closed an idle one shortly after its use, and is not passed on from a server that is not confirmed. A connection that was open before leads to the same process, so that most streams aren't held. When the list shows a new incarnation, streams that it has begun get its version and are recorded, also those that have broken off up to 3 s before.

A restart that a router has no sign of is still unnoticed until the list shows it.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -17,7 +17,7 @@
 	Priority          int    // Zero is the most urgent.
 	Streaming         bool
 	Resumable         bool          // An interrupted stream may be resumed on another server.
-	HoldStream        bool          // Once the first event has arrived, forward nothing until ForwardStream.
+	HoldStream        bool          // Once the first event has arrived, forward nothing until ForwardStream; EndAttempt may come instead.
 	AtMostOnce        bool          // The request must not be sent again once it may have been executed.
 	Deadline          time.Time     // Deadline of the request over all attempts.
 	HeaderDeadline    time.Time     // Time by which the response header is due; see AttemptSilent.
@@ -32,7 +32,7 @@
 	Until  time.Time
 }
 
-// EndAttempt has the relay end the attempt at a silent server with OutcomeTimedOut.
+// EndAttempt has the relay end the attempt at a silent server, or one whose stream it holds, with OutcomeTimedOut.
 type EndAttempt struct{ Number RequestNumber }
 
 // CancelAttempt closes the connection of the current attempt; AttemptEnded follows.
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -79,9 +79,11 @@
 
 // ResponseStarted reports that the first event of a stream has arrived.
 type ResponseStarted struct {
-	Number  RequestNumber
-	Attempt int
-	Report  *ServerReport
+	Number      RequestNumber
+	Attempt     int
+	Report      *ServerReport
+	ConnectedAt time.Time // When the connection to the server was opened.
+	Reconnected bool      // The server had closed an idle connection shortly after its last use.
 }
 
 // AttemptSilent reports that nothing has come from a server by SendRequest.HeaderDeadline, for
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -42,11 +42,14 @@
 	SentAttempts     int        // Attempts that may have reached a server.
 	Server           ServerID   // Of the current attempt.
 	ServerVersion    string     // Software version of Server.
+	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began.
+	ConnectedAt      time.Time  // When the connection of the current attempt was opened, once the server has responded.
 	Placement        Placement  // Of the current attempt.
 	TriedServers     []ServerID // Servers that must not be tried again.
 	Version          string     // Software version that has begun the stream of a resumable response.
 	HasVersion       bool       // Version is known.
 	RecordSeq        uint64     // Of the StreamException of the stream; zero if there is none.
+	Reconnected      bool       // The server of the current attempt had closed an idle connection; see ResponseStarted.
 	SilentAttempt    int        // Last attempt whose server was silent when its response was due.
 	HoldsStream      bool       // The relay holds the stream of the current attempt until ForwardStream.
 	IsStreamHeld     bool       // The relay has the first event of that stream.
@@ -72,12 +75,12 @@
 	}
 	r.Attempt++
 	r.SentAttempts++
-	r.ResponseStartedAt = time.Time{}
-	r.Server, r.ServerVersion = server.ID, server.Version
+	r.ResponseStartedAt, r.ConnectedAt = time.Time{}, time.Time{}
+	r.Server, r.ServerVersion, r.ServerStart = server.ID, server.Version, server.Start
 	s.serverLoad(server.ID).RequestSent()
 	s.countColdRequest(server, now)
 	s.countRateLimitedRequest(server, now)
-	r.HoldsStream, r.IsStreamHeld = s.isUnrecorded(r), false
+	r.HoldsStream, r.IsStreamHeld = s.isUnrecorded(r) || r.isResumable() && (r.goesOn() || s.mayHaveRestarted(server.ID)), false
 	s.emit(SendRequest{
 		Number: r.Number, Attempt: r.Attempt, Server: server.ID, Address: server.Address,
 		Account: r.Account, CacheSource: r.Placement.CacheSource, StripAPIKey: s.Config.AccountsByKey != nil, Priority: r.Priority, Streaming: r.Route.Streaming,
@@ -133,11 +136,14 @@
 		return
 	}
 	s.updateReport(r, ev.Report, now)
-	if r.isResumable() {
+	r.ResponseStartedAt, r.ConnectedAt, r.Reconnected = now, ev.ConnectedAt, ev.Reconnected
+	if !s.correctVersion(r, now) {
+		return
+	}
+	if r.isResumable() && (!r.HasVersion || !r.goesOn()) {
 		r.Version, r.HasVersion = r.ServerVersion, true
 	}
 	s.holdStream(r, now)
-	r.ResponseStartedAt = now
 	if server := s.Roster.Servers[r.Server]; server != nil {
 		s.Prompts.RecordRead(r.PromptParts, server.Ref(), now)
 	}
@@ -219,6 +225,12 @@
 	case OutcomeNotRun, OutcomeConnectionLost, OutcomeMalformed, OutcomeTimedOut:
 		h.RecordFailure(now)
 	}
+	switch ev.Outcome {
+	case OutcomeUnreachable, OutcomeUnacknowledged:
+		s.recordDown(r.Server, now)
+	case OutcomeConnectionLost:
+		h.LostAt = now
+	}
 	if ev.Outcome != OutcomeConnectionLost {
 		return
 	}
@@ -245,6 +257,7 @@
 		return
 	}
 	s.serverHealth(ev.Server).RecordUnreachable(now)
+	s.recordDown(ev.Server, now)
 	s.emit(LogRecord{Event: "server_crashed", Subject: string(ev.Server)})
 }
 
@@ -340,6 +353,9 @@
 	s.finish(r, "refused "+refusal.Reason.String(), refusal.Status, now)
 }
 
+// goesOn reports whether the response is to go on with a stream of which the caller has events.
+func (r *Request) goesOn() bool { return r.ResumeAfter != "" || r.ResponseStarted }
+
 // stream returns the ID of the stream that the request goes on with, or "".
 func (r *Request) stream() string {
 	if r.ResumeAfter == "" {
@@ -351,6 +367,9 @@
 // finish removes a request and logs its result.
 func (s *State) finish(r *Request, outcome string, status int, now time.Time) {
 	delete(s.Requests, r.Number)
+	if outcome != "served" && r.Route != nil && r.isResumable() && r.ResumeAfter == "" && !r.ResponseStartedAt.IsZero() {
+		s.StreamVersions.rememberBrokenOff(r, now)
+	}
 	record := LogRecord{
 		Event: "request", RequestID: r.ID, Stream: r.stream(), Subject: string(r.Server), Version: r.ServerVersion, Outcome: outcome, Status: status, Attempt: r.Attempt,
 		Elapsed: now.Sub(r.ArrivedAt), Account: r.Account, Placement: r.Placement, RouterCount: s.RouterCount(),
--- a/core/dtdispatch/serverhealth.go
+++ b/core/dtdispatch/serverhealth.go
@@ -17,7 +17,9 @@
 	FailureRate float64 // Moving average of failed results, 0 to 1.
 	AvoidUntil  time.Time
 	AvoidPeriod time.Duration
-	HalfOpen    bool // The next result decides whether the server is avoided again.
+	HalfOpen    bool      // The next result decides whether the server is avoided again.
+	DownAt      time.Time // When the server was last down, until it is known not to have restarted since.
+	LostAt      time.Time // When it last dropped a connection, likewise.
 }
 
 // IsAvoided reports whether the server is to be avoided at now.
--- /dev/null
+++ b/core/dtdispatch/serverrestart.go
@@ -0,0 +1,125 @@
+package dtdispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// A server may restart under its ID with other software, and serve before its new entry is read. A connection that
+// was open before the server was down leads to the listed incarnation. On a newer connection the first event of a
+// resumable stream is held until the list shows which incarnation has sent it.
+
+const (
+	// registrationDelay is the time within which a server that has started writes its entry.
+	registrationDelay = 300 * time.Millisecond
+	// maxConfirmHold is how long a stream is held for that. Callers give up on a silent stream after two seconds.
+	maxConfirmHold = 1500 * time.Millisecond
+	// minDownNewsGap is the time after which routers tell each other again that a server is down.
+	minDownNewsGap = time.Second
+	// Limits of the streams that are remembered after they have broken off.
+	maxBrokenOff    = 256
+	maxBrokenOffAge = 3 * time.Second
+)
+
+// recordDown records that a server was down, and tells the other routers.
+func (s *State) recordDown(id ServerID, now time.Time) {
+	h := s.serverHealth(id)
+	if now.Sub(h.DownAt) > minDownNewsGap {
+		s.emit(SendToPeers{Message: &StreamNews{Down: map[ServerID]int64{id: s.Roster.Servers[id].Start}}})
+	}
+	h.DownAt = now
+}
+
+// recordPeersDown records servers that other routers have told were down, by the incarnations that they list.
+func (s *State) recordPeersDown(down map[ServerID]int64, now time.Time) {
+	for id, start := range down {
+		if server := s.Roster.Servers[id]; server != nil && server.Start == start {
+			s.serverHealth(id).DownAt = now
+		}
+	}
+}
+
+// mayHaveRestarted reports whether a server was down since it was last known to be the listed incarnation.
+func (s *State) mayHaveRestarted(id ServerID) bool {
+	h := s.Health[id]
+	return h != nil && !h.DownAt.IsZero()
+}
+
+// isServerConfirmed reports whether the server of the current attempt, which has responded, is the listed incarnation.
+// A server may also drop connections because it has too many, which a stream that goes on takes for a restart, too.
+func (s *State) isServerConfirmed(r *Request) bool {
+	h := s.serverHealth(r.Server)
+	lostAt := h.DownAt
+	if r.goesOn() {
+		lostAt = later(lostAt, h.LostAt)
+	}
+	isNewer := !lostAt.IsZero() && r.ConnectedAt.After(lostAt)
+	if !isNewer && !(r.Reconnected && r.goesOn()) {
+		return true
+	}
+	if s.listConfirmedAt().Sub(r.ConnectedAt) < registrationDelay {
+		return false
+	}
+	if isNewer {
+		h.DownAt, h.LostAt = time.Time{}, time.Time{}
+	}
+	return true
+}
+
+// isOnNewIncarnation reports whether the server of the current attempt, which has responded, had restarted before the
+// connection to it was opened. The clocks of hosts differ.
+func (s *State) isOnNewIncarnation(r *Request) bool {
+	server := s.Roster.Servers[r.Server]
+	return server != nil && server.Start != r.ServerStart && !r.ConnectedAt.Before(time.UnixMilli(server.Start).Add(-mixSkew))
+}
+
+// correctVersion applies the listed incarnation of the server of the current attempt, which has responded, if it is
+// another than when the request was sent. It returns false if it has ended the attempt, since the stream goes on
+// after events of another version.
+func (s *State) correctVersion(r *Request, now time.Time) bool {
+	if !r.isResumable() || !s.isOnNewIncarnation(r) {
+		return true
+	}
+	server := s.Roster.Servers[r.Server]
+	r.ServerStart = server.Start
+	if r.ServerVersion == server.Version {
+		return true
+	}
+	s.emit(LogRecord{
+		Event: "server_restarted", RequestID: r.ID, Stream: r.StreamID, Subject: string(r.Server), Version: server.Version,
+		Outcome: "listed_late", Elapsed: now.Sub(r.ArrivedAt),
+	})
+	r.ServerVersion = server.Version
+	if !r.goesOn() {
+		r.Version = server.Version
+		s.recordVersion(r, s.StreamVersions.history(r.Service, now), server.Version, now)
+		return true
+	}
+	if r.HoldsStream {
+		r.HoldsStream, r.IsStreamHeld = false, false
+		s.emit(EndAttempt{Number: r.Number})
+		return false
+	}
+	return true
+}
+
+// correctVersions applies new incarnations of servers to the streams that these have begun.
+func (s *State) correctVersions(now time.Time) {
+	for _, number := range sortedKeys(s.Requests) {
+		if r := s.Requests[number]; !r.ResponseStartedAt.IsZero() {
+			s.correctVersion(r, now)
+		}
+	}
+	for _, r := range s.StreamVersions.BrokenOff {
+		s.correctVersion(r, now)
+	}
+}
+
+// rememberBrokenOff keeps a new stream that has broken off, in case that its server turns out to have restarted.
+func (v *StreamVersions) rememberBrokenOff(r *Request, now time.Time) {
+	v.BrokenOff = slices.DeleteFunc(v.BrokenOff, func(old *Request) bool { return now.Sub(old.ResponseStartedAt) > maxBrokenOffAge })
+	if len(v.BrokenOff) >= maxBrokenOff {
+		v.BrokenOff = slices.Delete(v.BrokenOff, 0, 1)
+	}
+	v.BrokenOff = append(v.BrokenOff, r)
+}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -134,6 +134,9 @@
 	}
 	s.finishResume(now)
 	s.endStandstill(now)
+	if s.Roster.ListedAt.After(s.StreamVersions.checkedAt) {
+		s.forwardHeldStreams(now)
+	}
 	s.StreamVersions.checkedAt = s.Roster.ListedAt
 	s.updateReadiness()
 	s.updateTimer(now)
@@ -284,6 +287,7 @@
 	s.releaseHeldDomains(now)
 	s.writeVersionRecordIfDue(now)
 	s.readRecordIfDue(now)
+	s.forwardHeldStreams(now)
 }
 
 func (s *State) serverLoad(id ServerID) *ServerLoad {
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -9,7 +9,8 @@
 
 // StreamNews tells other routers of streams that have begun at another version than they would work out.
 type StreamNews struct {
-	Versions map[string]string `msgpack:"v"` // By ID of the stream.
+	Versions map[string]string  `msgpack:"v"`           // By ID of the stream.
+	Down     map[ServerID]int64 `msgpack:"d,omitempty"` // Start of the listed incarnation, by server that was down.
 }
 
 func (*StreamNews) isPeerMessage() {}
@@ -23,7 +24,19 @@
 		return
 	}
 	r.IsStreamHeld = true
-	if s.canForward(r) {
+	s.releaseStream(r, now)
+}
+
+// releaseStream forwards a held stream that need not wait any longer. One that goes on at a server that is not known
+// to be the listed one ends there.
+func (s *State) releaseStream(r *Request, now time.Time) {
+	isConfirmed := s.isServerConfirmed(r)
+	switch isLate := now.Sub(r.ResponseStartedAt) >= maxConfirmHold; {
+	case !isConfirmed && !isLate && !s.Shutdown.Ending:
+	case !isConfirmed && r.goesOn():
+		r.HoldsStream, r.IsStreamHeld = false, false
+		s.emit(EndAttempt{Number: r.Number})
+	case s.canForward(r):
 		s.forwardStream(r, now)
 	}
 }
@@ -45,14 +58,15 @@
 // forwardHeldStreams forwards the held streams that need not wait any longer.
 func (s *State) forwardHeldStreams(now time.Time) {
 	for _, number := range sortedKeys(s.Requests) {
-		if r := s.Requests[number]; r.IsStreamHeld && s.canForward(r) {
-			s.forwardStream(r, now)
+		if r := s.Requests[number]; r.IsStreamHeld {
+			s.releaseStream(r, now)
 		}
 	}
 }
 
 // handleStreamNews records what another router has told.
 func (s *State) handleStreamNews(news *StreamNews, now time.Time) {
+	s.recordPeersDown(news.Down, now)
 	for id, version := range news.Versions {
 		if !s.StreamVersions.Exceptions[id].IsOwn {
 			s.StreamVersions.addException(id, StreamException{Version: version, At: now}, now)
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -89,11 +89,20 @@
 		r := s.Requests[number]
 		isNew := r.Service == service && r.isResumable() && r.ResumeAfter == "" && r.Attempt > 0
 		if isNew && since.Sub(r.StreamTime) <= s.maxFollowedAge()+recordedSkew {
-			s.recordVersion(r, history, r.ServerVersion, now)
+			s.recordVersion(r, history, r.begunVersion(), now)
 		}
 	}
 }
 
+// begunVersion returns the version that has begun a new stream or, before its first event, the one of the server that
+// has the request.
+func (r *Request) begunVersion() string {
+	if r.HasVersion {
+		return r.Version
+	}
+	return r.ServerVersion
+}
+
 // pickUsable returns the servers of the first version for a new stream that has a usable one, or nil.
 func (s *State) pickUsable(r *Request, servers []*Server, weights map[string]int, now time.Time) []*Server {
 	for len(weights) > 0 {
--- /dev/null
+++ b/core/dtdispatch/streamrestart_test.go
@@ -0,0 +1,184 @@
+package dtdispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
+)
+
+// restartServer has a server restart under its ID with other software, and returns its entry, which the store does
+// not have yet.
+func (f *streams) restartServer(i int, version string) dtdispatch.Server {
+	server := f.store[i]
+	server.Version, server.Start, server.Seq = version, f.routers[f.names[0]].now.UnixMilli(), 1
+	if f.running == nil {
+		f.running = map[dtdispatch.ServerID]string{}
+	}
+	f.running[server.ID] = version
+	return server
+}
+
+// list writes the entry of a server to the store.
+func (f *streams) list(i int, server dtdispatch.Server) {
+	f.store = append([]dtdispatch.Server(nil), f.store...)
+	f.store[i] = server
+	f.revision++
+}
+
+// TestStreamsOfAServerThatRestartsWithOtherSoftwareAreNotMixed guards against streams of two versions: a server comes
+// back under its ID with another version, and has begun streams before its new entry is read.
+func TestStreamsOfAServerThatRestartsWithOtherSoftwareAreNotMixed(t *testing.T) {
+	for name, versions := range map[string][]string{"of one version before": {"v1", "v1", "v1", "v1"}, "of two versions": {"v1", "v1", "v2", "v2"}} {
+		for _, areOpen := range []bool{true, false} {
+			what := name + ", which have broken off"
+			if areOpen {
+				what = name + ", which go on"
+			}
+			t.Run(what, func(t *testing.T) {
+				f := newStreams(t, "r1", "r2", "r3")
+				f.setVersions(versions...)
+				f.run(2*time.Second, f.names...)
+				f.begin(3)
+				f.takeUp() // They have read the record before.
+				f.begun, f.areOpen, f.ends = nil, areOpen, dtdispatch.OutcomeCallerGone
+				server := f.restartServer(0, "v2")
+				f.run(100*time.Millisecond, f.names...)
+				f.begin(30)
+				f.run(100*time.Millisecond, f.names...)
+				f.list(0, server)
+				f.run(time.Second, f.names...)
+				f.takeUp() // It fails if one goes on at another version.
+			})
+		}
+	}
+}
+
+// TestServerThatCannotGoOnDoesNotChangeTheVersion guards against a record that names the version of a server that was to
+// go on with a stream and has restarted with other software.
+func TestServerThatCannotGoOnDoesNotChangeTheVersion(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v1")
+	n := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = "first", callerTimeout })
+	first := r.onlySend().Server
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
+	r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost, func(ev *dtdispatch.AttemptEnded) { ev.ResponseStarted = true })
+	r.Expect(r.onlySend().HoldStream).To(BeTrue())
+	r.now = r.now.Add(50 * time.Millisecond)
+	restarted := serversOfVersions("v1", "v1")
+	for i := range restarted {
+		if restarted[i].ID != first {
+			restarted[i].Version, restarted[i].Start = "v2", r.now.UnixMilli()
+		}
+	}
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 2, ConnectedAt: r.now, Reconnected: true})
+	r.listServers(2, restarted...)
+	r.Expect(effectsOf[dtdispatch.EndAttempt](r.effects)).To(HaveLen(1))
+	r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal("v1"))
+}
+
+// TestFirstEventOfAServerThatMayHaveRestartedIsHeld guards against streams of two versions: a server that has dropped
+// connections is back, and its entry is the old one for a while.
+func TestFirstEventOfAServerThatMayHaveRestartedIsHeld(t *testing.T) {
+	connected := func(r *router, n dtdispatch.RequestNumber, at time.Time) {
+		r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: at})
+	}
+	start := func(t *testing.T) (r *router, openedBefore time.Time) {
+		t.Helper()
+		r = newRouterWithVersions(t, "v1")
+		n := r.sendRequest("/stream/x", resuming("earlier"))
+		r.step(dtdispatch.VersionRecordRead{})
+		openedBefore = r.now
+		r.now = r.now.Add(50 * time.Millisecond)
+		r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost)
+		r.step(dtdispatch.ServerChecked{Server: "s0"})
+		r.now = r.now.Add(50 * time.Millisecond)
+		return r, openedBefore
+	}
+	t.Run("a connection from before the loss", func(t *testing.T) {
+		r, openedBefore := start(t)
+		n := r.sendRequest("/stream/x")
+		connected(r, n, openedBefore)
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(HaveLen(1))
+	})
+	t.Run("the list is confirmed", func(t *testing.T) {
+		r, _ := start(t)
+		n := r.sendRequest("/stream/x")
+		r.Expect(r.onlySend().HoldStream).To(BeTrue())
+		connected(r, n, r.now)
+		r.listServers(2, serversOfVersions("v1")...)
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty(), "the server may not have written its entry yet")
+		r.now = r.now.Add(400 * time.Millisecond)
+		r.listServers(2, serversOfVersions("v1")...)
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(HaveLen(1))
+		r.sendRequest("/stream/x")
+		r.Expect(r.onlySend().HoldStream).To(BeFalse(), "the server has not restarted")
+	})
+	t.Run("the list does not come", func(t *testing.T) {
+		r, _ := start(t)
+		connected(r, r.sendRequest("/stream/x"), r.now)
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.advance(1400 * time.Millisecond))).To(BeEmpty())
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.advance(200 * time.Millisecond))).To(HaveLen(1))
+	})
+	t.Run("another router has seen the loss", func(t *testing.T) {
+		r, _ := start(t)
+		other := newRouterWithVersions(t, "v1")
+		r.now = r.now.Add(2 * time.Second)
+		r.endAttempt(r.sendRequest("/stream/x"), 1, dtdispatch.OutcomeUnreachable)
+		for _, message := range effectsOf[dtdispatch.SendToPeers](r.effects) {
+			other.step(dtdispatch.PeerMessageReceived{Message: message.Message})
+		}
+		other.sendRequest("/stream/x")
+		other.Expect(other.onlySend().HoldStream).To(BeTrue())
+	})
+	t.Run("a stream goes on after the server has dropped a connection", func(t *testing.T) {
+		r := newRouterWithVersions(t, "v1", "v1")
+		n := r.sendRequest("/stream/x")
+		server := r.onlySend().Server
+		r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
+		r.endAttempt(r.sendRequest("/single/x"), 1, dtdispatch.OutcomeConnectionLost)
+		other := r.sendRequest("/stream/x")
+		r.step(dtdispatch.ResponseStarted{Number: other, Attempt: 1, ConnectedAt: r.now})
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty(), "a new stream is not held")
+		r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost, func(ev *dtdispatch.AttemptEnded) { ev.ResponseStarted = true })
+		r.Expect(r.onlySend().Server).NotTo(Equal(server))
+		r.now = r.now.Add(10 * time.Millisecond)
+		r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 2, ConnectedAt: r.now})
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty())
+	})
+	t.Run("the server had closed an idle connection", func(t *testing.T) {
+		r := newRouterWithVersions(t, "v1")
+		r.sendRequest("/stream/x", resuming("earlier"))
+		r.step(dtdispatch.VersionRecordRead{})
+		r.listServers(2, serversOfVersions("v1")...)
+		n := r.sendRequest("/stream/x", resuming("first"), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - time.Second })
+		r.Expect(r.onlySend().HoldStream).To(BeTrue())
+		r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now.Add(10 * time.Millisecond), Reconnected: true})
+		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty())
+		r.Expect(effectsOf[dtdispatch.EndAttempt](r.advance(1600 * time.Millisecond))).To(HaveLen(1))
+	})
+	for _, isListedFirst := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a stream goes on at a server that has restarted, listed before its first event: %t", isListedFirst), func(t *testing.T) {
+			r, _ := start(t)
+			r.listServers(2, serversOfVersions("v1")...)
+			n := r.sendRequest("/stream/x", resuming("first"), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - time.Second })
+			r.Expect(r.onlySend().HoldStream).To(BeTrue())
+			restarted := serversOfVersions("v2")
+			restarted[0].Start = r.now.UnixMilli()
+			connectedAt := r.now.Add(10 * time.Millisecond)
+			r.now = r.now.Add(100 * time.Millisecond)
+			if isListedFirst {
+				r.listServers(2, restarted...)
+				connected(r, n, connectedAt)
+			} else {
+				connected(r, n, connectedAt)
+				r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty())
+				r.listServers(2, restarted...)
+			}
+			r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty())
+			r.Expect(effectsOf[dtdispatch.EndAttempt](r.effects)).To(HaveLen(1))
+		})
+	}
+}
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -34,6 +34,7 @@
 	WritingSeq     uint64               // Of the last exception of this router that is in the write in progress.
 	WrittenSeq     uint64               // Of the last exception of this router that the store has.
 	Held           []RequestArrived     // Requests that wait for the record.
+	BrokenOff      []*Request           // New streams that have broken off lately.
 	Ahead          map[string]time.Time // By service: since when the record has mixes that this router has not applied.
 	StoodStillAt   time.Time            // Of the last step before the router stood still; zero once it has heard of the list since.
 	WokeAt         time.Time            // Of the first step after that one.
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -74,10 +74,12 @@
 	*WithT
 	names   []string
 	begun   []begunStream
-	held    map[string]begunStream // Streams of which their callers have nothing yet, by router and number.
-	waits   time.Duration          // How long its callers wait.
-	transit time.Duration          // How long requests are under way.
-	areOpen bool                   // Its streams do not end.
+	held    map[string]begunStream         // Streams of which their callers have nothing yet, by router and number.
+	waits   time.Duration                  // How long its callers wait.
+	transit time.Duration                  // How long requests are under way.
+	areOpen bool                           // Its streams do not end.
+	running map[dtdispatch.ServerID]string // Versions of servers that have restarted, which the store may not have yet.
+	ends    dtdispatch.Outcome             // Of streams that are not open.
 	lastID  int
 }
 
@@ -123,13 +125,13 @@
 		r := f.routers[name]
 		number := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = id, f.waits })
 		send := r.onlySend()
-		stream := begunStream{id: id, version: r.versionOf(send.Server), at: r.now.Add(-f.transit)}
+		stream := begunStream{id: id, version: f.runningVersion(name, send.Server), at: r.now.Add(-f.transit)}
 		if send.HoldStream {
 			f.held[fmt.Sprint(name, number)] = stream
 		} else {
 			f.begun = append(f.begun, stream)
 		}
-		f.perform(name, r.step(dtdispatch.ResponseStarted{Number: number, Attempt: 1}))
+		f.perform(name, r.step(dtdispatch.ResponseStarted{Number: number, Attempt: 1, ConnectedAt: r.now}))
 		if !send.HoldStream {
 			f.endUnlessOpen(name, number)
 		}
@@ -138,7 +140,7 @@
 
 func (f *streams) endUnlessOpen(name string, n dtdispatch.RequestNumber) {
 	if !f.areOpen {
-		f.routers[name].endAttempt(n, 1, dtdispatch.OutcomeCompleted)
+		f.routers[name].endAttempt(n, 1, f.ends)
 	}
 }
 
@@ -148,11 +150,19 @@
 	request := r.state.Requests[send.Number]
 	for _, stream := range f.begun {
 		if request != nil && request.ResumeAfter != "" && request.StreamID == stream.id {
-			f.Expect(r.versionOf(send.Server)).To(Equal(stream.version), "%s at %s", stream.id, name)
+			f.Expect(f.runningVersion(name, send.Server)).To(Equal(stream.version), "%s at %s", stream.id, name)
 		}
 	}
 }
 
+// runningVersion returns the version of the software that a server runs.
+func (f *streams) runningVersion(name string, id dtdispatch.ServerID) string {
+	if version, hasRestarted := f.running[id]; hasRestarted {
+		return version
+	}
+	return f.routers[name].versionOf(id)
+}
+
 // takeUp has all streams taken up at other routers than those that began them. It returns how many go on,
 // and fails if one does so at another version.
 func (f *streams) takeUp() int {
@@ -168,7 +178,7 @@
 		f.perform(name, append([]dtdispatch.Effect(nil), r.effects...))
 		for _, send := range effectsOf[dtdispatch.SendRequest](r.effects) {
 			goOn++
-			f.Expect(r.versionOf(send.Server)).To(Equal(stream.version), "%s at %s", stream.id, name)
+			f.Expect(f.runningVersion(name, send.Server)).To(Equal(stream.version), "%s at %s", stream.id, name)
 		}
 	}
 	return goOn
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -15,6 +15,7 @@
 const (
 	connectCheckTimeout      = 400 * time.Millisecond // A host that does not respond for this long is down or unreachable.
 	defaultServerIdleTimeout = 4 * time.Second        // Used if the server does not specify it.
+	minServerIdleTimeout     = time.Second            // A server that closes a connection earlier has probably ended.
 	serverIdleMargin         = 500 * time.Millisecond // Subtracted from the server's own idle timeout.
 	maxIdleTimeAtMostOnce    = time.Second            // Idle time limit for requests that must not run twice.
 	readBufferBytes          = 4 << 10
@@ -32,6 +33,8 @@
 	limiter     *headLimiter   // Source of reader.
 	patient     *patientReader // Source of limiter.
 	reused      bool
+	openedAt    time.Time
+	replaces    bool          // The server had closed an idle connection shortly after its last use.
 	outOfSync   bool          // The server has sent a response to an earlier request, or an unexpected one.
 	requestIDs  requestIDs    // Of the requests sent.
 	idleTimeout time.Duration // How long the server keeps the connection open.
@@ -57,32 +60,36 @@
 // get returns a connection for a request: an idle one that is still open, or else a new one. A
 // request without an ID always gets a new one.
 func (p *idlePool) get(ctx context.Context, requestID string, send *dtdispatch.SendRequest) (*serverConn, error) {
-	c := p.takeOpen(requestID, send, time.Now())
+	c, hasClosed := p.takeOpen(requestID, send, time.Now())
 	if c == nil {
 		var err error
 		if c, err = p.connect(ctx, send.Address, send.ConnectTimeout); err != nil {
 			return nil, err
 		}
+		c.replaces = hasClosed
 	}
 	c.requestIDs.add(requestID)
 	return c, nil
 }
 
-// takeOpen removes and returns an idle connection that a request may use, or nil. It closes those
-// that it may not use.
-func (p *idlePool) takeOpen(requestID string, send *dtdispatch.SendRequest, now time.Time) *serverConn {
+// takeOpen removes and returns an idle connection that a request may use, or nil, and whether the server has closed
+// another one within minServerIdleTimeout. It closes those that it may not use.
+func (p *idlePool) takeOpen(requestID string, send *dtdispatch.SendRequest, now time.Time) (c *serverConn, hasClosed bool) {
 	if requestID == "" {
-		return nil
+		return nil, false
 	}
-	for c := p.take(send.Address); c != nil; c = p.take(send.Address) {
+	for c = p.take(send.Address); c != nil; c = p.take(send.Address) {
 		age := now.Sub(c.lastUsed)
-		if age < c.idleTimeout && (!send.AtMostOnce || age < maxIdleTimeAtMostOnce) && !c.requestIDs.contains(requestID) && c.isIdle() {
-			c.reused = true
-			return c
+		if age < c.idleTimeout && (!send.AtMostOnce || age < maxIdleTimeAtMostOnce) && !c.requestIDs.contains(requestID) {
+			if c.isIdle() {
+				c.reused, c.replaces = true, false
+				return c, hasClosed
+			}
+			hasClosed = hasClosed || age < minServerIdleTimeout
 		}
 		_ = c.Close()
 	}
-	return nil
+	return nil, hasClosed
 }
 
 // connect returns a new connection.
@@ -97,7 +104,7 @@
 	}
 	patient := &patientReader{r: c}
 	limiter := &headLimiter{r: patient}
-	return &serverConn{Conn: c, patient: patient, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), idleTimeout: defaultServerIdleTimeout}, nil
+	return &serverConn{Conn: c, patient: patient, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), idleTimeout: defaultServerIdleTimeout, openedAt: time.Now()}, nil
 }
 
 func (p *idlePool) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
--- a/dottereltack/dtrelay/pool_test.go
+++ b/dottereltack/dtrelay/pool_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
 // TestConnReturnedAfterCloseStaysOpen guards against a connection that an exchange returns while the
@@ -20,3 +22,34 @@
 	_, err := server.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError("EOF"))
 }
+
+// TestConnectionThatTheServerHasClosedIsReported guards against a restart of a server that goes unnoticed because only
+// idle connections were open.
+func TestConnectionThatTheServerHasClosedIsReported(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	p := newIdlePool()
+	defer p.close()
+	send := &dtdispatch.SendRequest{Address: listener.Addr().String(), ConnectTimeout: time.Second}
+	get := func(id string) *serverConn {
+		c, err := p.get(t.Context(), id, send)
+		g.Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	first := get("1")
+	accepted, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	p.put(send.Address, first, 4, time.Now())
+	reused := get("2")
+	g.Expect(reused).To(BeIdenticalTo(first))
+	g.Expect(reused.replaces).To(BeFalse())
+	p.put(send.Address, first, 4, time.Now())
+	g.Expect(accepted.Close()).To(Succeed())
+	g.Eventually(first.isIdle, "1s", "5ms").Should(BeFalse())
+	second := get("3")
+	g.Expect(second.replaces).To(BeTrue())
+	p.put(send.Address, second, 4, time.Now())
+	g.Expect(get("4").replaces).To(BeFalse())
+}
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -15,6 +15,9 @@
 // errCallerWrite is returned if a response can't be written to the caller.
 var errCallerWrite = errors.New("write to caller failed")
 
+// errAttemptEnded is returned if the reducer has ended the attempt.
+var errAttemptEnded = errors.New("attempt ended while its stream was held")
+
 // forwardStream forwards server-sent events as they arrive. Only complete events are sent,
 // so that another server can resume the stream.
 func (a *attempt) forwardStream() {
@@ -28,7 +31,12 @@
 		events.write(buffer[:n])
 		lastID := events.lastID
 		complete, eventErr := events.takeComplete(afterID)
-		if writeErr := a.forwardEvents(complete, events.lastID); writeErr != nil {
+		writeErr := a.forwardEvents(complete, events.lastID)
+		if errors.Is(writeErr, errAttemptEnded) {
+			a.setOutcome(dtdispatch.OutcomeTimedOut, writeErr)
+			return
+		}
+		if writeErr != nil {
 			a.setOutcome(dtdispatch.OutcomeCallerGone, writeErr)
 			a.exchange.closeAfterResponse = true
 			return
@@ -98,9 +106,8 @@
 	}
 	a.postResponseStarted()
 	x := a.exchange
-	if !a.awaitForward() {
-		x.cancelAttempt()
-		return errCallerWrite
+	if err := a.awaitForward(); err != nil {
+		return err
 	}
 	x.startStream(a)
 	x.caller.addChunk(events)
@@ -112,17 +119,22 @@
 	return nil
 }
 
-// awaitForward waits until the stream may be forwarded, and returns false if the caller disconnects before.
-func (a *attempt) awaitForward() bool {
+// awaitForward waits until the stream may be forwarded, and returns an error if the reducer ends the attempt or the
+// caller disconnects before.
+func (a *attempt) awaitForward() error {
 	if !a.send.HoldStream || a.mayForward {
-		return true
+		return nil
 	}
 	select {
-	case <-a.exchange.effects: // ForwardStream; nothing else follows before the end of the attempt.
+	case e := <-a.exchange.effects:
+		if _, isEnd := e.(dtdispatch.EndAttempt); isEnd {
+			return errAttemptEnded
+		}
 		a.mayForward = true
-		return true
+		return nil
 	case <-a.exchange.ctx.Done():
-		return false
+		a.exchange.cancelAttempt()
+		return errCallerWrite
 	}
 }
 
@@ -132,7 +144,7 @@
 		return
 	}
 	a.result.Progress = dtdispatch.ProgressEvents
-	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.result.Report})
+	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.result.Report, ConnectedAt: a.conn.openedAt, Reconnected: a.conn.replaces})
 	a.result.Report = nil
 }
 
