dtdispatch: streams that begin elsewhere without a record

Callers saw a stream go on at another version than the one that began it: the store did not take the record of a stream that had begun at another version than that of its hash, and the stream was taken up at a router that had not been told of it, or had been killed since.

Cause: the first event was forwarded on the word of routers that may be gone or cut off a moment later.

While a router knows that the store takes nothing, it now refuses a stream that would begin elsewhere, as not run: the caller's next attempt has another ID, whose version may be usable. What is still told, of streams that were held when the first write failed, one router of each failure domain writes to its own list. The list is written as soon as any call to the store succeeds.

--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -228,6 +228,7 @@
 		return
 	}
 	s.IsStoreDown = false
+	s.StreamVersions.ExceptionWrite.FailedAt = time.Time{} // Streams can't begin at other versions until it succeeds.
 	s.emit(LogRecord{Event: "store_back"})
 	s.emit(RestartWatch{})
 }
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -64,12 +64,21 @@
 	}
 }
 
-// handleStreamNews records what another router has told.
+// handleStreamNews records what another router has told. One router of each failure domain writes it to the record,
+// which the teller can't reach.
 func (s *State) handleStreamNews(news *StreamNews, now time.Time) {
 	s.recordPeersDown(news.Down, now)
+	v := &s.StreamVersions
 	for id, version := range news.Versions {
-		if !s.StreamVersions.Exceptions[id].IsOwn {
-			s.StreamVersions.addException(id, StreamException{Version: version, At: now}, now)
+		if v.Exceptions[id].IsOwn {
+			continue
 		}
+		exception := StreamException{Version: version, At: now, IsOwn: s.isReader(now)}
+		if exception.IsOwn {
+			v.ExceptionSeq++
+			exception.Seq = v.ExceptionSeq
+			v.ExceptionWrite.markDue(now.Add(exceptionDelay))
+		}
+		v.addException(id, exception, now)
 	}
 }
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -34,6 +34,9 @@
 	if group == nil {
 		return withVersion(servers, pickVersion(r.StreamID, regular))
 	}
+	if group[0].Version != pickVersion(r.StreamID, regular) && !s.canRecord(r) {
+		return nil // The caller's next attempt is another stream.
+	}
 	s.recordVersion(r, history, group[0].Version, now)
 	return group
 }
@@ -64,6 +67,16 @@
 	v.ExceptionWrite.markDue(now.Add(exceptionDelay))
 }
 
+// canRecord reports whether the store has the version of a new stream, or is expected to take it.
+func (s *State) canRecord(r *Request) bool {
+	v := &s.StreamVersions
+	recorded, isException := v.Exceptions[r.StreamID]
+	if isException && recorded.IsOwn && recorded.Seq <= v.WrittenSeq {
+		return true
+	}
+	return !s.IsStoreDown && v.ExceptionWrite.Failures == 0
+}
+
 // recordOutcome returns what becomes of a stream that is recorded, for the log.
 func recordOutcome(isRegular bool) string {
 	if isRegular {
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -48,7 +48,7 @@
 	Version string
 	At      time.Time
 	Seq     uint64 // Order in which this router has recorded its exceptions.
-	IsOwn   bool   // This router has begun it.
+	IsOwn   bool   // This router writes it to the record.
 }
 
 // history returns the history of a service, which begins now if there is none.
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -80,7 +80,10 @@
 	areOpen bool                           // Its streams do not end.
 	running map[dtdispatch.ServerID]string // Versions of servers that have restarted, which the store may not have yet.
 	ends    dtdispatch.Outcome             // Of streams that are not open.
+	kept    []dtdispatch.Server            // What the store listed before it went away.
 	lastID  int
+
+	mayRefuse bool // New streams may be refused.
 }
 
 // begunStream is a stream that a server has begun.
@@ -124,6 +127,10 @@
 		name := f.names[f.lastID%len(f.names)]
 		r := f.routers[name]
 		number := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = id, f.waits })
+		if f.mayRefuse && len(effectsOf[dtdispatch.SendRequest](r.effects)) == 0 {
+			r.Expect(r.onlyRefusal().MayHaveRun).To(BeFalse())
+			continue
+		}
 		send := r.onlySend()
 		stream := begunStream{id: id, version: f.runningVersion(name, send.Server), at: r.now.Add(-f.transit)}
 		if send.HoldStream {
