dtdispatch: versions that only the store knew when it went away

Callers saw a stream go on at another version than the one that began it: it had begun at another version than that of its hash, the store had recorded that, and went away before the stream was taken up at another router.

Cause: a router that can't read the record goes by what it knows, and nobody had told it of a stream whose record had been written. Streams that could not be recorded were told.

Each router now tells the others of the streams that it records when it writes its list, which is before their first events are forwarded.

Evidence: TestVersionsOfTheRecordAreKnownOnceTheStoreIsAway failed ("stream-18 at r3: expected v1 to equal v2").

--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -9,7 +9,8 @@
 
 // StreamNews tells other routers of streams that have begun at another version than they would work out.
 type StreamNews struct {
-	Versions map[string]string  `msgpack:"v"`           // By ID of the stream.
+	Versions map[string]string  `msgpack:"v"`           // By ID of the stream; of those that the sender can't record.
+	Recorded map[string]string  `msgpack:"r,omitempty"` // By ID of the stream; of those that the sender records.
 	Down     map[ServerID]int64 `msgpack:"d,omitempty"` // Start of the listed incarnation, by server that was down.
 }
 
@@ -64,11 +65,32 @@
 	}
 }
 
+// tellRecorded tells the other routers of the streams that this one is about to record, in case that the store goes away
+// before they read that.
+func (s *State) tellRecorded() {
+	v := &s.StreamVersions
+	recorded := map[string]string{}
+	for id, exception := range v.Exceptions {
+		if exception.IsOwn && exception.Seq > v.ToldSeq {
+			recorded[id] = exception.Version
+		}
+	}
+	v.ToldSeq = v.ExceptionSeq
+	if len(recorded) > 0 {
+		s.emit(SendToPeers{Message: &StreamNews{Recorded: recorded}})
+	}
+}
+
 // handleStreamNews records what another router has told. One router of each failure domain writes it to the record,
 // which the teller can't reach.
 func (s *State) handleStreamNews(news *StreamNews, now time.Time) {
 	s.recordPeersDown(news.Down, now)
 	v := &s.StreamVersions
+	for id, version := range news.Recorded {
+		if !v.Exceptions[id].IsOwn {
+			v.addException(id, StreamException{Version: version, At: now}, now)
+		}
+	}
 	for id, version := range news.Versions {
 		if v.Exceptions[id].IsOwn {
 			continue
--- a/core/dtdispatch/streamtold_test.go
+++ b/core/dtdispatch/streamtold_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// TestVersionsOfTheRecordAreKnownOnceTheStoreIsAway guards against streams of two versions: they are recorded, the store
+// goes away before another router has read that, and they are taken up there.
+func TestVersionsOfTheRecordAreKnownOnceTheStoreIsAway(t *testing.T) {
+	f := newStreams(t, "r1", "r2", "r3")
+	f.setVersions("v1", "v2", "v2")
+	f.run(2*time.Second, f.names...)
+	f.begin(3)
+	f.takeUp() // They have read the record before.
+	f.begun, f.areOpen = nil, true
+	for _, name := range f.names {
+		f.routers[name].step(dtdispatch.ServerChecked{Server: "s0-v1"}) // It has crashed.
+	}
+	f.begin(60)
+	f.run(300*time.Millisecond, f.names...)
+	f.Expect(f.held).To(BeEmpty())
+	f.store = nil
+	f.run(800*time.Millisecond, f.names...) // The server of v1 is back.
+	f.Expect(f.takeUp()).To(Equal(60))
+}
+
 // TestVersionIsRecordedByThoseWhoAreTold guards against the loss of a version that one router has told the others, and
 // that it can't record before it is killed.
 func TestVersionIsRecordedByThoseWhoAreTold(t *testing.T) {
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -33,6 +33,7 @@
 	ExceptionSeq   uint64               // Of the last exception of this router.
 	WritingSeq     uint64               // Of the last exception of this router that is in the write in progress.
 	WrittenSeq     uint64               // Of the last exception of this router that the store has.
+	ToldSeq        uint64               // Of the last exception of this router that others have been told of.
 	Held           []RequestArrived     // Requests that wait for the record.
 	BrokenOff      []*Request           // New streams that have broken off lately.
 	Ahead          map[string]time.Time // By service: since when the record has mixes that this router has not applied.
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -208,6 +208,7 @@
 	v := &s.StreamVersions
 	if at := v.ExceptionWrite.nextAt(); !at.IsZero() && !now.Before(at) {
 		v.WritingSeq = v.ExceptionSeq
+		s.tellRecorded()
 		s.writeVersionRecord(PartExceptions, VersionRecord{Exceptions: v.ownExceptions(now)}, now)
 	}
 	at := s.nextMixWriteAt(now)
