dtdispatch: a restart gives a router no new retry budget

Callers of a fleet whose routers are killed got more retries than it may make. The retry budget of a router is empty after a restart, so that each incarnation could use a whole share of the slack, and of the ratio, on top of what the former ones had used within the same retry window.

The budgets of routers that have been running add up to three quarters of the bound. A router that has restarted now uses the last quarter of the ratio, of its own requests since the start, until a retry window has passed, and no slack until the others have counted it for a whole window. So one incarnation of a router at most uses its full share in any window, and all later ones together no more than a quarter. The whole ratio at once would not do: after a burst of failures it allows 0.3 of the requests. Only when the settings say that the whole fleet starts for the first time, no incarnation can have used anything, and the share is whole at once. The test harnesses of the reducer and of dtnode start their routers so; routers restarted in a test, and all of the soak, are limited.

--- a/core/dtdispatch/budget.go
+++ b/core/dtdispatch/budget.go
@@ -3,9 +3,13 @@
 import "time"
 
 // retryBudgetShare is the fraction of the fleet-wide retry bound that the budgets of all
-// routers add up to. The rest compensates for differences between their views of the fleet.
+// routers add up to. The rest is for routers that have restarted and have forgotten the retries
+// of their earlier incarnations, and compensates for differences between their views of the fleet.
 const retryBudgetShare = 0.75
 
+// restartRatioFactor reduces the retry ratio of a router that has restarted to that rest.
+const restartRatioFactor = (1 - retryBudgetShare) / retryBudgetShare
+
 // coldBudgetShare is the corresponding fraction for a cold server. It is smaller because the
 // slots of many routers may coincide: the mean number of requests plus three standard
 // deviations must stay within the bound.
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -48,6 +48,7 @@
 	now := time.UnixMilli(1_700_000_000_000)
 	state := dtdispatch.New(dtdispatch.Settings{
 		RouterName: name, Address: name + ":1", OwnAddresses: []string{"10.9.9.9:80"}, Domain: domain, Bounds: bounds, Start: now.UnixMilli(), Regions: map[string]string{"d0": "east", "d1": "east"},
+		IsFirstStart: true,
 	}, now)
 	return &router{WithT: NewWithT(t), state: state, now: now}
 }
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -85,7 +85,7 @@
 		Number: r.Number, Attempt: r.Attempt, Server: server.ID, Address: server.Address,
 		Account: r.Account, CacheSource: r.Placement.CacheSource, StripAPIKey: s.Config.AccountsByKey != nil, Priority: r.Priority, Streaming: r.Route.Streaming,
 		Resumable: r.isResumable(), HoldStream: r.HoldsStream, AtMostOnce: !r.Route.IsRetryable(),
-		Deadline: r.Deadline, HeaderDeadline: s.headerDeadline(r, now), StreamIdleTimeout: s.streamIdleTimeout(r), ConnectTimeout: connectTimeout(r.Route), MaxIdleConns: s.maxIdleConns(r, now),
+		Deadline: r.Deadline, HeaderDeadline: s.headerDeadline(r, now), StreamIdleTimeout: s.streamIdleTimeout(r), ConnectTimeout: connectTimeout(r.Route), MaxIdleConns: s.maxIdleConns(r),
 	})
 }
 
@@ -123,7 +123,7 @@
 }
 
 // maxIdleConns returns how many idle connections this router may keep to one server.
-func (s *State) maxIdleConns(r *Request, now time.Time) int {
+func (s *State) maxIdleConns(r *Request) int {
 	maxConns := s.Config.Services[r.Service].MaxConnections
 	return max(maxConns/(idleConnsDivisor*s.RouterCount()), 1)
 }
--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -36,8 +36,6 @@
 	return f
 }
 
-func (f *retryFleet) now() time.Time { return f.routers[f.names[0]].now }
-
 // play sends perTick requests each retryTick for d to the routers in turn; their attempts fail if fails is set.
 // onTick is called before each tick with the time since the start, unless it is nil.
 func (f *retryFleet) play(d time.Duration, perTick int, fails bool, onTick func(at time.Duration)) {
@@ -88,6 +86,20 @@
 	}
 }
 
+// restart replaces a router that is down by a new incarnation.
+func (f *retryFleet) restart(name string) {
+	now := f.routers[name].now
+	r := newEmptyRouter(f.t, name)
+	settings := r.state.Settings
+	settings.Start, settings.IsFirstStart = now.UnixMilli(), false
+	r.state, r.now = dtdispatch.New(settings, now), now
+	f.routers[name], f.down[name] = r, false
+	delete(f.readRevision, name)
+	delete(f.operators.readRevision, name)
+	r.step(dtdispatch.ConfigReceived{Config: testConfig(1)})
+	r.listServers(f.revision, testServers(4)...)
+}
+
 func (f *retryFleet) kill(name string) { f.down[name] = true }
 
 // count returns the number of times in the half-open interval of the given length from start.
@@ -120,6 +132,58 @@
 	g.Expect(float64(worst)).To(BeNumerically("<=", limit), "retries in the window from %s", at)
 }
 
+// TestKilledRoutersRetryMoreThanTheFleetMay guards against routers that have their whole retry budget again after each restart.
+func TestKilledRoutersRetryMoreThanTheFleetMay(t *testing.T) {
+	t.Run("one after the other", func(t *testing.T) {
+		f := newRetryFleet(t, 7)
+		f.play(20*time.Second, 2, true, func(at time.Duration) {
+			name := f.names[int(at/(500*time.Millisecond))%len(f.names)]
+			switch at % (500 * time.Millisecond) {
+			case 0:
+				f.kill(name)
+			case 300 * time.Millisecond:
+				f.restart(name)
+			}
+		})
+		f.expectWithinBounds()
+	})
+	t.Run("all at once", func(t *testing.T) {
+		f := newRetryFleet(t, 7)
+		f.play(20*time.Second, 2, true, func(at time.Duration) { f.cycleAll(at, 4*time.Second) })
+		f.expectWithinBounds()
+	})
+	t.Run("all at once after a burst of failures", func(t *testing.T) {
+		f := newRetryFleet(t, 7)
+		f.play(12*time.Second, 4, false, nil)
+		f.play(12*time.Second, 4, true, func(at time.Duration) { f.cycleAll(at, 3*time.Second) })
+		f.expectWithinBounds()
+	})
+	t.Run("all at once while the store is away", func(t *testing.T) {
+		f := newRetryFleet(t, 20)
+		f.store = nil
+		f.play(40*time.Second, 2, true, func(at time.Duration) {
+			if at < time.Second {
+				f.cycleAll(at+2500*time.Millisecond, 3*time.Second)
+			}
+		})
+		f.expectWithinBounds()
+	})
+}
+
+// cycleAll kills all routers once in each period and restarts them 0.3 s later.
+func (f *retryFleet) cycleAll(at, period time.Duration) {
+	for _, name := range f.names {
+		switch at % period {
+		case period - 300*time.Millisecond:
+			f.kill(name)
+		case 0:
+			if f.down[name] {
+				f.restart(name)
+			}
+		}
+	}
+}
+
 // TestRoutersThatAreCutOffTakeTheSharesOfOthers guards against routers that divide the budgets by the number of those that
 // they still hear.
 func TestRoutersThatAreCutOffTakeTheSharesOfOthers(t *testing.T) {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -45,11 +45,13 @@
 	Regions      map[string]string // Regions by failure domain.
 	Bounds       Bounds
 	Start        int64 // Start time in Unix milliseconds, which identifies the incarnation of the router.
+	IsFirstStart bool  // The whole fleet starts for the first time, so that no router has an earlier incarnation.
 }
 
 // State is the complete state of a router's reducer; only Step changes it.
 type State struct {
 	Settings          Settings
+	StartedAt         time.Time
 	Config            *Config
 	Roster            Roster
 	OutOfService      OutOfService
@@ -86,9 +88,14 @@
 // New returns the initial state of a router that starts at now.
 func New(settings Settings, now time.Time) *State {
 	settings.Bounds = settings.Bounds.withDefaults()
+	membership := Membership{NextListAt: now.Add(initialRouterListDelay)}
+	if settings.IsFirstStart {
+		membership.ListedAt = now // Routers that have just started are not cut off.
+	}
 	return &State{
 		Settings:     settings,
-		Membership:   Membership{NextListAt: now.Add(initialRouterListDelay), ListedAt: now}, // A router that has just started is not cut off.
+		StartedAt:    now,
+		Membership:   membership,
 		Peers:        Peers{NextStatusAt: now.Add(minStatusInterval)},
 		Loads:        map[ServerID]*ServerLoad{},
 		Health:       map[ServerID]*ServerHealth{},
@@ -309,11 +316,17 @@
 	return getOrCreate(s.DomainHealth, domain, func() *DomainHealth { return &DomainHealth{} })
 }
 
-// retryBounds returns the bounds with what this router may use of them at present. Others share the slack without
-// it once it has been cut off.
+// retryBounds returns the bounds with what this router may use of them at present. Retries of an earlier
+// incarnation may lie within the retry window, and others read later that this router shares the slack. They
+// share the slack without it once it has been cut off.
 func (s *State) retryBounds(now time.Time) Bounds {
 	b := s.Settings.Bounds
-	if s.isCutOff(now) {
+	age, forgetting := now.Sub(s.StartedAt), coveringLength(b.RetryWindow)
+	hasRestarted := !s.Settings.IsFirstStart
+	if hasRestarted && age < forgetting {
+		b.RetryRatio *= restartRatioFactor
+	}
+	if hasRestarted && age < forgetting+s.Membership.steadyListInterval() || s.isCutOff(now) {
 		b.RetrySlack = 0
 	}
 	return b
--- a/dottereltack/dtnode/harness_test.go
+++ b/dottereltack/dtnode/harness_test.go
@@ -167,7 +167,7 @@
 func newNodeWithStore(t *testing.T, w io.Writer, storeOf func(*emptyStore) lister, servers ...*simulatedServer) *testNode {
 	t.Helper()
 	n, err := dtnode.New(dtnode.Settings{
-		State: dtdispatch.Settings{RouterName: "r1", Domain: "d", Bounds: dtdispatch.Bounds{
+		State: dtdispatch.Settings{RouterName: "r1", Domain: "d", IsFirstStart: true, Bounds: dtdispatch.Bounds{
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 800, ShutdownTimeout: 4 * time.Second,
 		}},
 		CallersAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0", LogOutput: w,
