--- a/dottereltack/dtnode/explain_test.go
+++ b/dottereltack/dtnode/explain_test.go
@@ -27,6 +27,13 @@
 	return l.text.Write(b)
 }
 
+// count returns how many times text has been logged.
+func (l *logBuffer) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
+
 // cause returns a function that returns the cause of a request's outcome according to the
 // lines written so far.
 func (l *logBuffer) cause(request string) func() string {
