dtdispatch: tell of servers that drop connections, too

Callers saw streams go on at a server that had restarted with other software: the router that sent them there had no connection to it when it ended, and those that had could still connect, to the restarted one or to a host in between that accepts for it, and told nobody.

Only streams that go on are held for it.

--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -229,7 +229,7 @@
 	case OutcomeUnreachable, OutcomeUnacknowledged:
 		s.recordDown(r.Server, now)
 	case OutcomeConnectionLost:
-		h.LostAt = now
+		s.recordLoss(r.Server, now)
 	}
 	if ev.Outcome != OutcomeConnectionLost {
 		return
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -14,7 +14,7 @@
 	registrationDelay = 300 * time.Millisecond
 	// maxConfirmHold is how long a stream is held for that. Callers give up on a silent stream after two seconds.
 	maxConfirmHold = 1500 * time.Millisecond
-	// minDownNewsGap is the time after which routers tell each other again that a server is down.
+	// minDownNewsGap is the time after which routers tell each other again that a server is down or drops connections.
 	minDownNewsGap = time.Second
 	// Limits of the streams that are remembered after they have broken off.
 	maxBrokenOff    = 256
@@ -30,13 +30,28 @@
 	h.DownAt = now
 }
 
-// recordPeersDown records servers that other routers have told were down, by the incarnations that they list.
-func (s *State) recordPeersDown(down map[ServerID]int64, now time.Time) {
-	for id, start := range down {
+// recordLoss records that a server has dropped a connection, and tells the other routers. In a large fleet these would
+// be too many messages while servers have too many connections.
+func (s *State) recordLoss(id ServerID, now time.Time) {
+	h := s.serverHealth(id)
+	if now.Sub(h.LostAt) > minDownNewsGap && !s.Membership.IsLarge() {
+		s.emit(SendToPeers{Message: &StreamNews{Lost: map[ServerID]int64{id: s.Roster.Servers[id].Start}}})
+	}
+	h.LostAt = now
+}
+
+// recordServerNews records what other routers have told of servers, by the incarnations that they list.
+func (s *State) recordServerNews(news *StreamNews, now time.Time) {
+	for id, start := range news.Down {
 		if server := s.Roster.Servers[id]; server != nil && server.Start == start {
 			s.serverHealth(id).DownAt = now
 		}
 	}
+	for id, start := range news.Lost {
+		if server := s.Roster.Servers[id]; server != nil && server.Start == start {
+			s.serverHealth(id).LostAt = now
+		}
+	}
 }
 
 // mayHaveRestarted reports whether a server was down since it was last known to be the listed incarnation.
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -12,6 +12,7 @@
 	Versions map[string]string  `msgpack:"v"`           // By ID of the stream; of those that the sender can't record.
 	Recorded map[string]string  `msgpack:"r,omitempty"` // By ID of the stream; of those that the sender records.
 	Down     map[ServerID]int64 `msgpack:"d,omitempty"` // Start of the listed incarnation, by server that was down.
+	Lost     map[ServerID]int64 `msgpack:"l,omitempty"` // Likewise, by server that has dropped a connection.
 }
 
 func (*StreamNews) isPeerMessage() {}
@@ -84,7 +85,7 @@
 // handleStreamNews records what another router has told. One router of each failure domain writes it to the record,
 // which the teller can't reach.
 func (s *State) handleStreamNews(news *StreamNews, now time.Time) {
-	s.recordPeersDown(news.Down, now)
+	s.recordServerNews(news, now)
 	v := &s.StreamVersions
 	for id, version := range news.Recorded {
 		if !v.Exceptions[id].IsOwn {
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -148,6 +148,20 @@
 		r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 2, ConnectedAt: r.now})
 		r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(BeEmpty())
 	})
+	t.Run("a stream goes on after the server has dropped a connection of another router", func(t *testing.T) {
+		r, other := newRouterWithVersions(t, "v1"), newRouterWithVersions(t, "v1")
+		r.endAttempt(r.sendRequest("/single/x"), 1, dtdispatch.OutcomeConnectionLost)
+		for _, message := range effectsOf[dtdispatch.SendToPeers](r.effects) {
+			other.step(dtdispatch.PeerMessageReceived{Message: message.Message})
+		}
+		other.sendRequest("/stream/x", resuming("earlier"))
+		other.step(dtdispatch.VersionRecordRead{})
+		other.listServers(2, serversOfVersions("v1")...)
+		n := other.sendRequest("/stream/x", resuming("first"), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - time.Second })
+		other.onlySend()
+		other.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: other.now.Add(time.Millisecond)})
+		other.Expect(effectsOf[dtdispatch.ForwardStream](other.effects)).To(BeEmpty())
+	})
 	t.Run("the server had closed an idle connection", func(t *testing.T) {
 		r := newRouterWithVersions(t, "v1")
 		r.sendRequest("/stream/x", resuming("earlier"))
