a refusal that is recorded before a gateway closes is sent

A caller whose request the reducer had refused, with a number and an entry in the ledger, could get a closed connection instead, at the end of a stop.

Cause: the exchange chose at random between the refusal and the closing of the gateway, both being there.

Fix: what the reducer has decided goes before the closing. The gateway waits up to 0.1 s until the last responses are written.

--- a/dottereltack/dtgate/exchange.go
+++ b/dottereltack/dtgate/exchange.go
@@ -85,10 +85,22 @@
 	case e := <-x.effects:
 		return x.applyEffect(e)
 	case <-x.gateway.closing:
-		return responsePart{abandoned: true}, true
+		return x.awaitNothing()
 	}
 }
 
+// awaitNothing applies what the reducer has decided before it ended, or abandons the request.
+func (x *exchange) awaitNothing() (responsePart, bool) {
+	select {
+	case e := <-x.effects:
+		if _, isDispatch := e.(dtstate.Dispatch); !isDispatch {
+			return x.applyEffect(e)
+		}
+	default:
+	}
+	return responsePart{abandoned: true}, true
+}
+
 // applyEffect carries out an effect and reports whether it ends the request.
 func (x *exchange) applyEffect(e dtstate.Effect) (responsePart, bool) {
 	switch e := e.(type) {
--- a/dottereltack/dtgate/gateway.go
+++ b/dottereltack/dtgate/gateway.go
@@ -24,6 +24,8 @@
 	requestIDBase       = 36 // Numeric base of the numbers in request IDs.
 	maxConns            = 64 << 10
 	shutdownGracePeriod = 300 * time.Millisecond // Before the listener is closed.
+	closeTimeout        = 100 * time.Millisecond // For writing the last responses.
+	closeCheckInterval  = 5 * time.Millisecond
 )
 
 // eventQueue passes events to the reducer. Offer returns false if the queue is full.
@@ -133,9 +135,14 @@
 	return abandoned
 }
 
-// Close ends the connections of requests that are still waiting. It must be called once the reducer has ended,
-// since what it decides is what callers are told.
-func (g *Gateway) Close() { close(g.closing) }
+// Close ends the connections of requests that are still waiting, and waits for closeTimeout at most until the last
+// responses are written. It must be called once the reducer has ended, since what it decides is what callers are told.
+func (g *Gateway) Close() {
+	close(g.closing)
+	for end := time.Now().Add(closeTimeout); g.app.Server().GetOpenConnectionsCount() > 0 && time.Now().Before(end); {
+		time.Sleep(closeCheckInterval)
+	}
+}
 
 // Configure sets the configuration for new requests.
 func (g *Gateway) Configure(site *dtconfig.Site) {
