--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -69,7 +69,8 @@
 		lostAt = later(lostAt, h.LostAt)
 	}
 	isNewer := !lostAt.IsZero() && r.ConnectedAt.After(lostAt)
-	if !isNewer && !(r.Reconnected && r.goesOn()) {
+	hasReconnected := r.Reconnected && r.goesOn()
+	if !isNewer && !hasReconnected {
 		return true
 	}
 	if s.listConfirmedAt().Sub(r.ConnectedAt) < registrationDelay {
