dtdispatch: no effects for streams that have ended

A new stream that had broken off while it was held, and whose server turned out to have restarted, could get an EndAttempt after its end. Read in code, not seen. It also left an entry of the health of a server that had gone.

--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -63,7 +63,10 @@
 // isServerConfirmed reports whether the server of the current attempt, which has responded, is the listed incarnation.
 // A server may also drop connections because it has too many, which a stream that goes on takes for a restart, too.
 func (s *State) isServerConfirmed(r *Request) bool {
-	h := s.serverHealth(r.Server)
+	h := s.Health[r.Server]
+	if h == nil {
+		h = &ServerHealth{}
+	}
 	lostAt := h.DownAt
 	if r.goesOn() {
 		lostAt = later(lostAt, h.LostAt)
@@ -137,5 +140,6 @@
 	if len(v.BrokenOff) >= maxBrokenOff {
 		v.BrokenOff = slices.Delete(v.BrokenOff, 0, 1)
 	}
+	r.HoldsStream, r.IsStreamHeld = false, false
 	v.BrokenOff = append(v.BrokenOff, r)
 }
