dtdispatch: streams go on after a loss while the store is away

Callers saw: while the store is away and each server has dropped one connection, no stream that is taken up goes on, for as long as the outage lasts, and the servers count as failing.

Cause: only a newer list confirms a server that has been lost, which never comes while the store is away; the hold ends as a timeout of the server, which its health pays for.

Fix: a request that is sent after the loss and answered on a connection from well before it shows that the process lives. An attempt that the reducer ends has an outcome of its own, which leaves the server's health alone and still counts in the retry budget, as the server has run it. Once the list has been out of date for longer than a stable list may be, the store is taken to be away: a stream goes on if the connection was opened long after the loss, or if the service has only had one version and the server has not been down. Otherwise it moves at once if a server that has not been lost could take it.

What remains: a server that restarts under its ID with other software while the store is away, and is used over 1.5 s after its loss was seen, is taken for the listed one until the store is back.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -32,7 +32,8 @@
 	Until  time.Time
 }
 
-// EndAttempt has the relay end the attempt at a silent server, or one whose stream it holds, with OutcomeTimedOut.
+// EndAttempt has the relay end the attempt at a silent server with OutcomeTimedOut, or one whose stream it holds with
+// OutcomeUnconfirmed.
 type EndAttempt struct{ Number RequestNumber }
 
 // CancelAttempt closes the connection of the current attempt; AttemptEnded follows.
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -43,6 +43,7 @@
 	OutcomeUnacknowledged                // The server's host acknowledged no data; the request may have been executed.
 	OutcomeMalformed                     // The response was invalid.
 	OutcomeTimedOut                      // No response within the time limit of the attempt.
+	OutcomeUnconfirmed                   // The reducer ended the attempt while its stream was held.
 	OutcomeExpired                       // The request's deadline passed.
 	OutcomeCallerGone                    // The caller closed its connection.
 )
@@ -51,7 +52,7 @@
 func (o Outcome) String() string {
 	return [...]string{
 		"served", "failure", "not_run", "other_server", "unreachable",
-		"cut", "unacknowledged", "garbled", "silent", "expired", "caller_left",
+		"cut", "unacknowledged", "garbled", "silent", "unconfirmed", "expired", "caller_left",
 	}[o]
 }
 
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -43,6 +43,7 @@
 	Server           ServerID   // Of the current attempt.
 	ServerVersion    string     // Software version of Server.
 	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began.
+	SentAt           time.Time  // When the current attempt began.
 	ConnectedAt      time.Time  // When the connection of the current attempt was opened, once the server has responded.
 	Placement        Placement  // Of the current attempt.
 	TriedServers     []ServerID // Servers that must not be tried again.
@@ -75,7 +76,7 @@
 	}
 	r.Attempt++
 	r.SentAttempts++
-	r.ResponseStartedAt, r.ConnectedAt = time.Time{}, time.Time{}
+	r.SentAt, r.ResponseStartedAt, r.ConnectedAt = now, time.Time{}, time.Time{}
 	r.Server, r.ServerVersion, r.ServerStart = server.ID, server.Version, server.Start
 	s.serverLoad(server.ID).RequestSent()
 	s.countColdRequest(server, now)
@@ -137,6 +138,7 @@
 	}
 	s.updateReport(r, ev.Report, now)
 	r.ResponseStartedAt, r.ConnectedAt, r.Reconnected = now, ev.ConnectedAt, ev.Reconnected
+	s.clearLoss(r)
 	if !s.correctVersion(r, now) {
 		return
 	}
@@ -282,7 +284,7 @@
 	case OutcomeFailure:
 		r.HasServerFailure = true
 		r.MayHaveRun = true
-	case OutcomeConnectionLost, OutcomeUnacknowledged, OutcomeMalformed, OutcomeTimedOut:
+	case OutcomeConnectionLost, OutcomeUnacknowledged, OutcomeMalformed, OutcomeTimedOut, OutcomeUnconfirmed:
 		r.MayHaveRun = true
 		reason = ReasonServerLost
 	}
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -62,7 +62,7 @@
 
 // isServerConfirmed reports whether the server of the current attempt, which has responded, is the listed incarnation.
 // A server may also drop connections because it has too many, which a stream that goes on takes for a restart, too.
-func (s *State) isServerConfirmed(r *Request) bool {
+func (s *State) isServerConfirmed(r *Request, now time.Time) bool {
 	h := s.Health[r.Server]
 	if h == nil {
 		h = &ServerHealth{}
@@ -77,7 +77,7 @@
 		return true
 	}
 	if s.listConfirmedAt().Sub(r.ConnectedAt) < registrationDelay {
-		return false
+		return s.isListOverdue(now) && (s.isLossOld(h, r) || h.DownAt.IsZero() && s.hadOneVersion(r.Service))
 	}
 	if isNewer {
 		h.DownAt, h.LostAt = time.Time{}, time.Time{}
@@ -85,6 +85,39 @@
 	return true
 }
 
+// isListOverdue reports whether the list has not been confirmed for so long that the store must be away, so that no
+// new entry of a server can be waited for.
+func (s *State) isListOverdue(now time.Time) bool { return now.Sub(s.listConfirmedAt()) > maxStableAge }
+
+// isLossOld reports whether the server of the current attempt had been lost long before the connection was opened.
+func (s *State) isLossOld(h *ServerHealth, r *Request) bool {
+	return !r.Reconnected && r.ConnectedAt.Sub(later(h.DownAt, h.LostAt)) >= maxConfirmHold
+}
+
+// canMoveUnconfirmed reports whether a stream that goes on need not wait for a list that is overdue, since a server that
+// has not been lost could take it.
+func (s *State) canMoveUnconfirmed(r *Request, now time.Time) bool {
+	return r.goesOn() && s.isListOverdue(now) && s.canMove(r, func(server *Server) bool {
+		h := s.Health[server.ID]
+		return h == nil || h.DownAt.IsZero() && h.LostAt.IsZero()
+	}, now)
+}
+
+// hadOneVersion reports whether all servers of a service have had the same software version as long as is known.
+func (s *State) hadOneVersion(service string) bool {
+	history := s.StreamVersions.ByService[service]
+	return history != nil && len(history.Mixes) == 1 && len(history.Weights()) == 1
+}
+
+// clearLoss forgets a loss of the server of the current attempt if its connection has outlived it.
+func (s *State) clearLoss(r *Request) {
+	h := s.serverHealth(r.Server)
+	lostAt := later(h.DownAt, h.LostAt)
+	if !lostAt.IsZero() && r.SentAt.After(lostAt) && r.ConnectedAt.Add(registrationDelay).Before(lostAt) {
+		h.DownAt, h.LostAt = time.Time{}, time.Time{}
+	}
+}
+
 // isOnNewIncarnation reports whether the server of the current attempt, which has responded, had restarted before the
 // connection to it was opened. The clocks of hosts differ.
 func (s *State) isOnNewIncarnation(r *Request) bool {
--- a/core/dtdispatch/silence.go
+++ b/core/dtdispatch/silence.go
@@ -12,7 +12,7 @@
 // server may respond late, as after it has run out of memory and reads the prompt in again, and nobody else will.
 func (s *State) handleAttemptSilent(ev AttemptSilent, now time.Time) {
 	r := s.Requests[ev.Number]
-	if r == nil || r.Attempt != ev.Attempt || s.canMove(r, now) {
+	if r == nil || r.Attempt != ev.Attempt || s.canMove(r, func(*Server) bool { return true }, now) {
 		s.emit(EndAttempt{Number: ev.Number})
 		return
 	}
@@ -26,8 +26,8 @@
 	s.emit(KeepWaiting{Number: ev.Number, Until: now.Add(silenceCheckInterval)})
 }
 
-// canMove reports whether another server would be sent the request if the current attempt ended now.
-func (s *State) canMove(r *Request, now time.Time) bool {
+// canMove reports whether another server that is wanted would be sent the request if the current attempt ended now.
+func (s *State) canMove(r *Request, isWanted func(*Server) bool, now time.Time) bool {
 	switch {
 	case !r.Route.IsRetryable() || !r.hasAttemptLeft(now):
 		return false
@@ -42,6 +42,6 @@
 	}
 	view := s.loadView(now)
 	return slices.ContainsFunc(servers, func(server *Server) bool {
-		return server.ID != r.Server && s.isUsable(r, server, now) && (server.Slots == 0 || view.InFlight(server) < server.Slots)
+		return server.ID != r.Server && isWanted(server) && s.isUsable(r, server, now) && (server.Slots == 0 || view.InFlight(server) < server.Slots)
 	})
 }
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -32,8 +32,9 @@
 // releaseStream forwards a held stream that need not wait any longer. One that goes on at a server that is not known
 // to be the listed one ends there.
 func (s *State) releaseStream(r *Request, now time.Time) {
-	isConfirmed := s.isServerConfirmed(r)
-	switch isLate := now.Sub(r.ResponseStartedAt) >= maxConfirmHold; {
+	isConfirmed := s.isServerConfirmed(r, now)
+	isLate := now.Sub(r.ResponseStartedAt) >= maxConfirmHold || s.canMoveUnconfirmed(r, now)
+	switch {
 	case !isConfirmed && !isLate && !s.Shutdown.Ending:
 	case !isConfirmed && r.goesOn():
 		r.HoldsStream, r.IsStreamHeld = false, false
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -33,7 +33,7 @@
 		complete, eventErr := events.takeComplete(afterID)
 		writeErr := a.forwardEvents(complete, events.lastID)
 		if errors.Is(writeErr, errAttemptEnded) {
-			a.setOutcome(dtdispatch.OutcomeTimedOut, writeErr)
+			a.setOutcome(dtdispatch.OutcomeUnconfirmed, writeErr)
 			return
 		}
 		if writeErr != nil {
