dtdispatch: the version of a stream is that of the server that sent its first event

Callers could see: a stream that has broken off is taken up at a server of another version, since its record is not corrected when its server turns out to have restarted; and one begun by the former incarnation shortly before a restart is recorded as one of the new version.

Cause: the correction asked whether the stream goes on, which is so for each that has broken off after its first event, as the relay reports that with the end of the attempt; the harness of the tests left that out. It went by the server of the last attempt. A connection opened up to the difference of clocks before the restart was taken for one to the new incarnation, and the health, which tells when the server was down, was deleted before.

Evidence: with a harness that ends streams as the relay does, TestStreamsOfAServerThatRestartsWithOtherSoftwareAreNotMixed failed before, as did TestStreamBegunBeforeARestartIsNotRecordedAsOfTheNewVersion and TestStreamThatWentOnElsewhereKeepsTheVersionOfItsFirstEvent.

Fix: a request keeps the origin of its stream, and only that is corrected. Where clocks do not tell the incarnations apart and the server was not known to be down before, the version is recorded as unknown, so that the stream is refused when it is taken up. That this router saw a loss after it had opened the connection does not show the former incarnation: an idle connection is found to be closed only when it is used next.

--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -133,6 +133,9 @@
 
 // handleRosterChange discards the state of removed servers and the health of added ones.
 func (s *State) handleRosterChange(added, removed []ServerID, now time.Time) {
+	if len(added) > 0 {
+		s.correctVersions(now)
+	}
 	for _, id := range removed {
 		delete(s.Loads, id)
 		delete(s.Health, id)
@@ -146,9 +149,6 @@
 		s.emit(LogRecord{Event: "server_listed", Subject: string(id), Version: s.Roster.Servers[id].Version, Detail: s.Roster.Servers[id].Address})
 	}
 	s.forgetNotices(now)
-	if len(added) > 0 {
-		s.correctVersions(now)
-	}
 	s.updateVersions(now)
 }
 
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -58,7 +58,8 @@
 	HasServerFailure bool       // The relay has an error response of a server to forward.
 	ResponseStarted  bool       // Part of the response has reached the caller.
 
-	ResponseStartedAt time.Time // When the first event of the current attempt arrived.
+	Origin            StreamOrigin // Of a new stream.
+	ResponseStartedAt time.Time    // When the first event of the current attempt arrived.
 }
 
 // unavailable returns a refusal that states that the request was not executed.
@@ -139,12 +140,16 @@
 	s.updateReport(r, ev.Report, now)
 	r.ResponseStartedAt, r.ConnectedAt, r.Reconnected = now, ev.ConnectedAt, ev.Reconnected
 	s.clearLoss(r)
-	if !s.correctVersion(r, now) {
-		return
-	}
 	if r.isResumable() && (!r.HasVersion || !r.goesOn()) {
 		r.Version, r.HasVersion = r.ServerVersion, true
 	}
+	if !r.goesOn() {
+		r.Origin = StreamOrigin{Server: r.Server, Start: r.ServerStart, ConnectedAt: ev.ConnectedAt, At: now}
+		s.correctOrigin(r, now)
+	}
+	if !s.confirmVersion(r) {
+		return
+	}
 	s.holdStream(r, now)
 	if server := s.Roster.Servers[r.Server]; server != nil {
 		s.Prompts.RecordRead(r.PromptParts, server.Ref(), now)
@@ -369,7 +374,7 @@
 // finish removes a request and logs its result.
 func (s *State) finish(r *Request, outcome string, status int, now time.Time) {
 	delete(s.Requests, r.Number)
-	if outcome != "served" && r.Route != nil && r.isResumable() && r.ResumeAfter == "" && !r.ResponseStartedAt.IsZero() {
+	if outcome != "served" && r.Route != nil && r.isResumable() && r.ResumeAfter == "" && !r.Origin.At.IsZero() {
 		s.StreamVersions.rememberBrokenOff(r, now)
 	}
 	record := LogRecord{
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -118,58 +118,91 @@
 	}
 }
 
-// isOnNewIncarnation reports whether the server of the current attempt, which has responded, had restarted before the
-// connection to it was opened. The clocks of hosts differ.
-func (s *State) isOnNewIncarnation(r *Request) bool {
-	server := s.Roster.Servers[r.Server]
-	return server != nil && server.Start != r.ServerStart && !r.ConnectedAt.Before(time.UnixMilli(server.Start).Add(-mixSkew))
+// StreamOrigin is the server that has sent the first event of a new stream.
+type StreamOrigin struct {
+	Server      ServerID
+	Start       int64 // Of the incarnation that was listed then.
+	ConnectedAt time.Time
+	At          time.Time // When the event arrived; zero if none has.
 }
 
-// correctVersion applies the listed incarnation of the server of the current attempt, which has responded, if it is
-// another than when the request was sent. It returns false if it has ended the attempt, since the stream goes on
-// after events of another version.
-func (s *State) correctVersion(r *Request, now time.Time) bool {
-	if !r.isResumable() || !s.isOnNewIncarnation(r) {
-		return true
+// unknownVersion is recorded as the version of a stream that either incarnation of a server may have begun.
+const unknownVersion = "?"
+
+// isOnNewIncarnation reports whether a connection leads to the listed incarnation of a server rather than to the one
+// that started at start, and whether that is certain. The clocks of hosts differ.
+func (s *State) isOnNewIncarnation(id ServerID, start int64, connectedAt time.Time) (isNew, isCertain bool) {
+	server := s.Roster.Servers[id]
+	if server == nil || server.Start == start {
+		return false, true
 	}
-	server := s.Roster.Servers[r.Server]
-	r.ServerStart = server.Start
-	if r.ServerVersion == server.Version {
-		return true
+	startedAt := time.UnixMilli(server.Start)
+	if connectedAt.Before(startedAt.Add(-mixSkew)) {
+		return false, true
+	}
+	h := s.Health[id]
+	wasDown := h != nil && h.DownAt.After(startedAt.Add(-crashMergePeriod)) && connectedAt.After(h.DownAt)
+	return true, wasDown || !connectedAt.Before(startedAt.Add(mixSkew))
+}
+
+// correctOrigin applies the listed incarnation of the server that has begun a new stream.
+func (s *State) correctOrigin(r *Request, now time.Time) {
+	origin := &r.Origin
+	isNew, isCertain := s.isOnNewIncarnation(origin.Server, origin.Start, origin.ConnectedAt)
+	if !r.isResumable() || origin.At.IsZero() || !isNew {
+		return
+	}
+	server := s.Roster.Servers[origin.Server]
+	origin.Start = server.Start
+	if r.Version == server.Version {
+		return
+	}
+	r.Version = unknownVersion
+	if isCertain {
+		r.Version = server.Version
 	}
 	s.emit(LogRecord{
-		Event: "server_restarted", RequestID: r.ID, Stream: r.StreamID, Subject: string(r.Server), Version: server.Version,
-		Outcome: "listed_late", Elapsed: now.Sub(r.ArrivedAt),
+		Event: "server_restarted", RequestID: r.ID, Stream: r.StreamID, Subject: string(origin.Server), Version: server.Version,
+		Outcome: certainty(isCertain), Elapsed: now.Sub(r.ArrivedAt),
 	})
-	r.ServerVersion = server.Version
-	if !r.goesOn() {
-		r.Version = server.Version
-		s.recordVersion(r, s.StreamVersions.history(r.Service, now), server.Version, now)
+	s.recordVersion(r, s.StreamVersions.history(r.Service, now), r.Version, now)
+}
+
+// confirmVersion applies the listed incarnation of the server of the current attempt, which has responded. It returns
+// false if it has ended the attempt, since the server runs another version than the one that began the stream.
+func (s *State) confirmVersion(r *Request) bool {
+	if !r.isResumable() {
 		return true
 	}
-	if r.HoldsStream {
-		r.HoldsStream, r.IsStreamHeld = false, false
-		s.emit(EndAttempt{Number: r.Number})
-		return false
+	if isNew, _ := s.isOnNewIncarnation(r.Server, r.ServerStart, r.ConnectedAt); isNew {
+		server := s.Roster.Servers[r.Server]
+		r.ServerStart, r.ServerVersion = server.Start, server.Version
 	}
-	return true
+	if !r.goesOn() || !r.HoldsStream || !r.HasVersion || r.ServerVersion == r.Version {
+		return true
+	}
+	r.HoldsStream, r.IsStreamHeld = false, false
+	s.emit(EndAttempt{Number: r.Number})
+	return false
 }
 
-// correctVersions applies new incarnations of servers to the streams that these have begun.
+// correctVersions applies new incarnations of servers to the streams that these have begun or go on with.
 func (s *State) correctVersions(now time.Time) {
 	for _, number := range sortedKeys(s.Requests) {
-		if r := s.Requests[number]; !r.ResponseStartedAt.IsZero() {
-			s.correctVersion(r, now)
+		r := s.Requests[number]
+		s.correctOrigin(r, now)
+		if !r.ResponseStartedAt.IsZero() {
+			s.confirmVersion(r)
 		}
 	}
 	for _, r := range s.StreamVersions.BrokenOff {
-		s.correctVersion(r, now)
+		s.correctOrigin(r, now)
 	}
 }
 
 // rememberBrokenOff keeps a new stream that has broken off, in case that its server turns out to have restarted.
 func (v *StreamVersions) rememberBrokenOff(r *Request, now time.Time) {
-	v.BrokenOff = slices.DeleteFunc(v.BrokenOff, func(old *Request) bool { return now.Sub(old.ResponseStartedAt) > maxBrokenOffAge })
+	v.BrokenOff = slices.DeleteFunc(v.BrokenOff, func(old *Request) bool { return now.Sub(old.Origin.At) > maxBrokenOffAge })
 	if len(v.BrokenOff) >= maxBrokenOff {
 		v.BrokenOff = slices.Delete(v.BrokenOff, 0, 1)
 	}
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -51,8 +51,8 @@
 
 func (s *State) forwardStream(r *Request, now time.Time) {
 	if s.isUnrecorded(r) {
-		s.emit(LogRecord{Event: "stream_told", RequestID: r.ID, Stream: r.StreamID, Version: r.ServerVersion, Elapsed: now.Sub(r.ArrivedAt)})
-		s.emit(SendToPeers{Message: &StreamNews{Versions: map[string]string{r.StreamID: r.ServerVersion}}})
+		s.emit(LogRecord{Event: "stream_told", RequestID: r.ID, Stream: r.StreamID, Version: r.begunVersion(), Elapsed: now.Sub(r.ArrivedAt)})
+		s.emit(SendToPeers{Message: &StreamNews{Versions: map[string]string{r.StreamID: r.begunVersion()}}})
 	}
 	r.HoldsStream, r.IsStreamHeld = false, false
 	s.emit(ForwardStream{Number: r.Number})
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -196,3 +196,74 @@
 		})
 	}
 }
+
+// restartedAt returns the entries of servers of v1 of which one restarted with v2 at a time.
+func restartedAt(n int, id dtdispatch.ServerID, at time.Time) []dtdispatch.Server {
+	servers := testServers(n)
+	for i := range servers {
+		servers[i].Version = "v1"
+		if servers[i].ID == id {
+			servers[i].Version, servers[i].Start = "v2", at.UnixMilli()
+		}
+	}
+	return servers
+}
+
+// TestStreamBegunBeforeARestartIsNotRecordedAsOfTheNewVersion guards against streams of two versions: the connection to
+// the former incarnation was opened so shortly before the restart that clocks don't tell them apart.
+func TestStreamBegunBeforeARestartIsNotRecordedAsOfTheNewVersion(t *testing.T) {
+	for name, isOpen := range map[string]bool{"it has broken off": false, "it is open": true} {
+		for _, ago := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", begun before by ", ago), func(t *testing.T) {
+				r := newRouterWithVersions(t, "v1", "v1", "v1")
+				n := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = "first", callerTimeout })
+				server := r.onlySend().Server
+				r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
+				r.now = r.now.Add(ago / 2)
+				if !isOpen {
+					r.endAttempt(n, 1, dtdispatch.OutcomeCallerGone, func(ev *dtdispatch.AttemptEnded) { ev.ResponseStarted = true })
+					r.step(dtdispatch.ServerChecked{Server: server})
+				}
+				r.now = r.now.Add(ago / 2)
+				r.listServers(2, restartedAt(3, server, r.now)...)
+				r.Expect(r.state.StreamVersions.Exceptions["first"].Version).NotTo(Equal("v2"))
+				r.sendRequest("/stream/x", resuming("first"), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - ago })
+				r.step(dtdispatch.VersionRecordRead{})
+				for _, send := range effectsOf[dtdispatch.SendRequest](r.effects) {
+					r.Expect(r.versionOf(send.Server)).To(Equal("v1"))
+				}
+			})
+		}
+	}
+}
+
+// TestStreamThatWentOnElsewhereKeepsTheVersionOfItsFirstEvent guards against streams of two versions: the server that
+// began one had restarted, and is listed after the stream has moved to another.
+func TestStreamThatWentOnElsewhereKeepsTheVersionOfItsFirstEvent(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v1", "v1")
+	startedAt := r.now
+	r.now = r.now.Add(400 * time.Millisecond)
+	n := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = "first", callerTimeout })
+	server := r.onlySend().Server
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
+	r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost, func(ev *dtdispatch.AttemptEnded) { ev.ResponseStarted = true })
+	r.Expect(r.onlySend().HoldStream).To(BeTrue())
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 2, ConnectedAt: r.now, Reconnected: true})
+	r.listServers(2, restartedAt(3, server, startedAt)...)
+	r.Expect(effectsOf[dtdispatch.EndAttempt](r.effects)).To(HaveLen(1))
+	r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal("v2"))
+}
+
+// TestStreamBegunRightAfterARestartGoesOnAtTheNewVersion guards against streams that are refused though their server was
+// known to be down before it began them.
+func TestStreamBegunRightAfterARestartGoesOnAtTheNewVersion(t *testing.T) {
+	r := newRouterWithVersions(t, "v1")
+	r.step(dtdispatch.ServerChecked{Server: "s0"})
+	r.now = r.now.Add(time.Second)
+	startedAt := r.now
+	r.now = r.now.Add(100 * time.Millisecond)
+	n := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = "first", callerTimeout })
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
+	r.listServers(2, restartedAt(1, "s0", startedAt)...)
+	r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal("v2"))
+}
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -85,7 +85,7 @@
 // began it may have heard of changes before as late as maxFollowedAge.
 func (s *State) lookUp(r *Request, history *VersionHistory, from, to, now time.Time) (string, bool) {
 	if exception, isException := s.StreamVersions.Exceptions[r.StreamID]; isException {
-		return exception.Version, true
+		return exception.Version, exception.Version != unknownVersion
 	}
 	if to.After(s.mixesKnownUntil(r.Service, now)) {
 		return "", false
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -147,7 +147,7 @@
 
 func (f *streams) endUnlessOpen(name string, n dtdispatch.RequestNumber) {
 	if !f.areOpen {
-		f.routers[name].endAttempt(n, 1, f.ends)
+		f.routers[name].endAttempt(n, 1, f.ends, func(ev *dtdispatch.AttemptEnded) { ev.ResponseStarted = true })
 	}
 }
 
