dtdispatch: a stream does not begin at another version than the store keeps

Callers could see: a stream is taken up at a server of another version, as the store has the version at which it was to begin before it moved.

Cause: a stream of which this router's record is in the store counted as recorded whichever version it begins at, and one that moves back to its regular version was not looked at.

Evidence: TestStreamDoesNotMoveFromTheVersionThatTheStoreKeeps failed before.

Fix: the version that is asked for is compared with the recorded one; while the store does not take it, the stream is refused, and the caller's next attempt is another stream.

--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -34,10 +34,13 @@
 	if group == nil {
 		return withVersion(servers, pickVersion(r.StreamID, regular))
 	}
-	if group[0].Version != pickVersion(r.StreamID, regular) && !s.canRecord(r) {
+	version := group[0].Version
+	recorded, isException := s.StreamVersions.Exceptions[r.StreamID]
+	isOther := version != pickVersion(r.StreamID, regular) || isException && recorded.Version != version
+	if isOther && !s.canRecord(r, version) {
 		return nil // The caller's next attempt is another stream.
 	}
-	s.recordVersion(r, history, group[0].Version, now)
+	s.recordVersion(r, history, version, now)
 	return group
 }
 
@@ -68,10 +71,10 @@
 }
 
 // canRecord reports whether the store has the version of a new stream, or is expected to take it.
-func (s *State) canRecord(r *Request) bool {
+func (s *State) canRecord(r *Request, version string) bool {
 	v := &s.StreamVersions
 	recorded, isException := v.Exceptions[r.StreamID]
-	if isException && recorded.IsOwn && recorded.Seq <= v.WrittenSeq {
+	if isException && recorded.Version == version && recorded.IsOwn && recorded.Seq <= v.WrittenSeq {
 		return true
 	}
 	return !s.IsStoreDown && v.ExceptionWrite.Failures == 0
--- a/core/dtdispatch/streamtold_test.go
+++ b/core/dtdispatch/streamtold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -168,3 +169,33 @@
 	crash()
 	f.begin(30) // It fails if one is refused.
 }
+
+// TestStreamDoesNotMoveFromTheVersionThatTheStoreKeeps guards against streams of two versions: the store has the version
+// of one that has not begun, goes away, and the stream begins at another.
+func TestStreamDoesNotMoveFromTheVersionThatTheStoreKeeps(t *testing.T) {
+	f := newStreams(t, "r1", "r2", "r3")
+	f.setVersions("v1", "v2", "v2")
+	f.run(2*time.Second, f.names...)
+	for _, name := range f.names {
+		f.routers[name].step(dtdispatch.ServerChecked{Server: "s0-v1"}) // It has crashed.
+	}
+	r := f.routers["r1"]
+	moving := map[dtdispatch.RequestNumber]string{}
+	for i := range 40 {
+		id := fmt.Sprint("first-", i)
+		n := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = id, f.waits })
+		if r.state.StreamVersions.Exceptions[id].Version == "v2" {
+			moving[n] = id
+		}
+	}
+	f.Expect(len(moving)).To(BeNumerically(">", 5))
+	f.run(500*time.Millisecond, f.names...) // Recorded.
+	f.kept, f.store = f.store, nil
+	f.run(500*time.Millisecond, f.names...) // The server of v1 is back.
+	for n, id := range moving {
+		r.endAttempt(n, 1, dtdispatch.OutcomeUnreachable)
+		for _, send := range effectsOf[dtdispatch.SendRequest](r.effects) {
+			f.Expect(r.versionOf(send.Server)).To(Equal("v2"), id)
+		}
+	}
+}
