dtdispatch: each loss of a server is told, whichever incarnation is listed

Callers could see: a stream of two versions, as a router does not hold it at a server whose restart another has seen.

Cause: a router told of a server once a second at most, and measured that from the last loss rather than from the last message, so that steady losses were told once only; what came within the second was dropped. News that named another incarnation than the listed one was dropped, too, though either router may be the one whose list is late.

Fix: news waits for the next message rather than being dropped. A router sends at most one each 100 ms, of all servers together (TestNewsOfServersIsToldTogether). The message names servers only, and is VersionNews, as it is not about streams alone.

--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -125,8 +125,8 @@
 	case *RosterDelta:
 		s.observeEra(m.Revision.Era(), now)
 		s.handleRosterDelta(m, now)
-	case *StreamNews:
-		s.handleStreamNews(m, now)
+	case *VersionNews:
+		s.handleVersionNews(m, now)
 	case *RouterLoads:
 		s.recordRouterLoads(m.From, m.InFlight, now)
 	case *DomainLoads:
--- a/core/dtdispatch/request_test.go
+++ b/core/dtdispatch/request_test.go
@@ -267,7 +267,7 @@
 	effects := r.advance(bounds.ShutdownTimeout - 400*time.Millisecond) // The store does not respond.
 	r.Expect(effectsOf[dtdispatch.ForwardStream](effects)).To(ConsistOf(dtdispatch.ForwardStream{Number: held}))
 	r.Expect(effectsOf[dtdispatch.CancelAttempt](effects)).To(HaveLen(len(r.state.Requests)))
-	r.Expect(effectsOf[dtdispatch.SendToPeers](effects)).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&dtdispatch.StreamNews{}))))
+	r.Expect(effectsOf[dtdispatch.SendToPeers](effects)).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&dtdispatch.VersionNews{}))))
 	r.step(dtdispatch.ResponseStarted{Number: late, Attempt: 1})
 	r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(ConsistOf(dtdispatch.ForwardStream{Number: late}))
 }
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -14,41 +14,72 @@
 	registrationDelay = 300 * time.Millisecond
 	// maxConfirmHold is how long a stream is held for that. Callers give up on a silent stream after two seconds.
 	maxConfirmHold = 1500 * time.Millisecond
-	// minDownNewsGap is the time after which routers tell each other again that a server is down or drops connections.
-	minDownNewsGap = time.Second
+	// serverNewsGap is the time between two messages of a router about servers that are down or drop connections.
+	serverNewsGap = 100 * time.Millisecond
 	// Limits of the streams that are remembered after they have broken off.
 	maxBrokenOff    = 256
 	maxBrokenOffAge = 3 * time.Second
 )
 
+// ServerNews is what this router has yet to tell the others of servers.
+type ServerNews struct {
+	Down   map[ServerID]bool
+	Lost   map[ServerID]bool
+	NextAt time.Time // Nothing is told before.
+}
+
 // recordDown records that a server was down, and tells the other routers.
 func (s *State) recordDown(id ServerID, now time.Time) {
-	h := s.serverHealth(id)
-	if now.Sub(h.DownAt) > minDownNewsGap {
-		s.emit(SendToPeers{Message: &StreamNews{Down: map[ServerID]int64{id: s.Roster.Servers[id].Start}}})
-	}
-	h.DownAt = now
+	s.serverHealth(id).DownAt = now
+	getOrCreateSet(&s.ServerNews.Down)[id] = true
+	s.tellServerNewsIfDue(now)
 }
 
 // recordLoss records that a server has dropped a connection, and tells the other routers. In a large fleet these would
 // be too many messages while servers have too many connections.
 func (s *State) recordLoss(id ServerID, now time.Time) {
-	h := s.serverHealth(id)
-	if now.Sub(h.LostAt) > minDownNewsGap && !s.Membership.IsLarge() {
-		s.emit(SendToPeers{Message: &StreamNews{Lost: map[ServerID]int64{id: s.Roster.Servers[id].Start}}})
+	s.serverHealth(id).LostAt = now
+	if s.Membership.IsLarge() {
+		return
+	}
+	getOrCreateSet(&s.ServerNews.Lost)[id] = true
+	s.tellServerNewsIfDue(now)
+}
+
+func getOrCreateSet(set *map[ServerID]bool) map[ServerID]bool {
+	if *set == nil {
+		*set = map[ServerID]bool{}
+	}
+	return *set
+}
+
+// nextAt returns when the news is to be told, or the zero time if there is none.
+func (n *ServerNews) nextAt() time.Time {
+	if len(n.Down)+len(n.Lost) == 0 {
+		return time.Time{}
+	}
+	return n.NextAt
+}
+
+// tellServerNewsIfDue tells the other routers of servers, of several at once if there is much to tell.
+func (s *State) tellServerNewsIfDue(now time.Time) {
+	n := &s.ServerNews
+	if len(n.Down)+len(n.Lost) == 0 || now.Before(n.NextAt) {
+		return
 	}
-	h.LostAt = now
+	s.emit(SendToPeers{Message: &VersionNews{Down: sortedKeys(n.Down), Lost: sortedKeys(n.Lost)}})
+	*n = ServerNews{NextAt: now.Add(serverNewsGap)}
 }
 
-// recordServerNews records what other routers have told of servers, by the incarnations that they list.
-func (s *State) recordServerNews(news *StreamNews, now time.Time) {
-	for id, start := range news.Down {
-		if server := s.Roster.Servers[id]; server != nil && server.Start == start {
+// recordServerNews records what other routers have told of servers, whichever incarnations they list.
+func (s *State) recordServerNews(news *VersionNews, now time.Time) {
+	for _, id := range news.Down {
+		if s.Roster.Servers[id] != nil {
 			s.serverHealth(id).DownAt = now
 		}
 	}
-	for id, start := range news.Lost {
-		if server := s.Roster.Servers[id]; server != nil && server.Start == start {
+	for _, id := range news.Lost {
+		if s.Roster.Servers[id] != nil {
 			s.serverHealth(id).LostAt = now
 		}
 	}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -63,6 +63,7 @@
 	DomainHealth      map[string]*DomainHealth   // By failure domain.
 	RetryBudgets      map[string]*RetryBudget    // By service.
 	Crashes           CrashTracker
+	ServerNews        ServerNews
 	Prompts           PromptIndex
 	Requests          map[RequestNumber]*Request
 	Membership        Membership
@@ -271,7 +272,7 @@
 // updateTimer requests a timer for the next task if its time has changed.
 func (s *State) updateTimer(now time.Time) {
 	next := s.Peers.NextStatusTime()
-	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt} {
+	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt, s.ServerNews.nextAt()} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
@@ -296,6 +297,7 @@
 	s.writeVersionRecordIfDue(now)
 	s.readRecordIfDue(now)
 	s.forwardHeldStreams(now)
+	s.tellServerNewsIfDue(now)
 }
 
 func (s *State) serverLoad(id ServerID) *ServerLoad {
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -7,15 +7,16 @@
 // would be lost with this router. While the store does not take it, and at the end of a graceful stop, the other
 // routers hear of it instead.
 
-// StreamNews tells other routers of streams that have begun at another version than they would work out.
-type StreamNews struct {
-	Versions map[string]string  `msgpack:"v"`           // By ID of the stream; of those that the sender can't record.
-	Recorded map[string]string  `msgpack:"r,omitempty"` // By ID of the stream; of those that the sender records.
-	Down     map[ServerID]int64 `msgpack:"d,omitempty"` // Start of the listed incarnation, by server that was down.
-	Lost     map[ServerID]int64 `msgpack:"l,omitempty"` // Likewise, by server that has dropped a connection.
+// VersionNews tells other routers of streams that have begun at another version than they would work out, and of servers
+// that may have restarted with another version.
+type VersionNews struct {
+	Versions map[string]string `msgpack:"v"`           // By ID of the stream; of those that the sender can't record.
+	Recorded map[string]string `msgpack:"r,omitempty"` // By ID of the stream; of those that the sender records.
+	Down     []ServerID        `msgpack:"d,omitempty"` // Servers that were down.
+	Lost     []ServerID        `msgpack:"l,omitempty"` // Servers that have dropped a connection.
 }
 
-func (*StreamNews) isPeerMessage() {}
+func (*VersionNews) isPeerMessage() {}
 
 // isUnrecorded reports whether the store lacks the version of the stream.
 func (s *State) isUnrecorded(r *Request) bool { return r.RecordSeq > s.StreamVersions.WrittenSeq }
@@ -52,7 +53,7 @@
 func (s *State) forwardStream(r *Request, now time.Time) {
 	if s.isUnrecorded(r) {
 		s.emit(LogRecord{Event: "stream_told", RequestID: r.ID, Stream: r.StreamID, Version: r.begunVersion(), Elapsed: now.Sub(r.ArrivedAt)})
-		s.emit(SendToPeers{Message: &StreamNews{Versions: map[string]string{r.StreamID: r.begunVersion()}}})
+		s.emit(SendToPeers{Message: &VersionNews{Versions: map[string]string{r.StreamID: r.begunVersion()}}})
 	}
 	r.HoldsStream, r.IsStreamHeld = false, false
 	s.emit(ForwardStream{Number: r.Number})
@@ -79,13 +80,13 @@
 	}
 	v.ToldSeq = v.ExceptionSeq
 	if len(recorded) > 0 {
-		s.emit(SendToPeers{Message: &StreamNews{Recorded: recorded}})
+		s.emit(SendToPeers{Message: &VersionNews{Recorded: recorded}})
 	}
 }
 
-// handleStreamNews records what another router has told. One router of each failure domain writes it to the record,
+// handleVersionNews records what another router has told. One router of each failure domain writes it to the record,
 // which the teller can't reach.
-func (s *State) handleStreamNews(news *StreamNews, now time.Time) {
+func (s *State) handleVersionNews(news *VersionNews, now time.Time) {
 	s.recordServerNews(news, now)
 	v := &s.StreamVersions
 	for id, version := range news.Recorded {
--- a/core/dtdispatch/streamoutage_test.go
+++ b/core/dtdispatch/streamoutage_test.go
@@ -107,7 +107,7 @@
 	read.Record.Exceptions = map[string]dtdispatch.StreamException{"first": {Version: "v1", At: r.now}}
 	r.step(read)
 	server := r.onlySend().Server
-	r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.StreamNews{Lost: map[dtdispatch.ServerID]int64{server: r.state.Roster.Servers[server].Start}}})
+	r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.VersionNews{Lost: []dtdispatch.ServerID{server}}})
 	r.now = r.now.Add(10 * time.Millisecond)
 	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
 	r.Expect(effectsOf[dtdispatch.EndAttempt](r.effects)).To(HaveLen(1))
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -267,3 +267,38 @@
 	r.listServers(2, restartedAt(1, "s0", startedAt)...)
 	r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal("v2"))
 }
+
+// TestEachLossOfAServerIsTold guards against streams that are not held at a server whose restart was not told, since it
+// had been lost shortly before.
+func TestEachLossOfAServerIsTold(t *testing.T) {
+	for _, gap := range []time.Duration{150 * time.Millisecond, 900 * time.Millisecond, 1100 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			r := newRouterWithVersions(t, "v1")
+			for range 10 {
+				r.step(dtdispatch.ServerChecked{Server: "s0"})
+				r.Expect(effectsOf[dtdispatch.SendToPeers](r.effects)).To(ContainElement(HaveField("Message", &dtdispatch.VersionNews{Down: []dtdispatch.ServerID{"s0"}})))
+				r.now = r.now.Add(gap)
+			}
+		})
+	}
+}
+
+// TestNewsOfServersIsToldTogether guards against a message for each of many servers that are lost at once.
+func TestNewsOfServersIsToldTogether(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v1", "v1", "v1")
+	var told []dtdispatch.VersionNews
+	collect := func(effects []dtdispatch.Effect) {
+		for _, send := range effectsOf[dtdispatch.SendToPeers](effects) {
+			if news, isNews := send.Message.(*dtdispatch.VersionNews); isNews {
+				told = append(told, *news)
+			}
+		}
+	}
+	for _, id := range []dtdispatch.ServerID{"s0", "s1", "s2", "s3"} {
+		collect(r.step(dtdispatch.ServerChecked{Server: id}))
+	}
+	r.Expect(told).To(HaveLen(1))
+	collect(r.advance(200 * time.Millisecond))
+	r.Expect(told).To(HaveLen(2))
+	r.Expect(told[1].Down).To(Equal([]dtdispatch.ServerID{"s1", "s2", "s3"}))
+}
--- a/dottereltack/dtmesh/fuzz_test.go
+++ b/dottereltack/dtmesh/fuzz_test.go
@@ -18,7 +18,7 @@
 		&dtdispatch.RosterDelta{BaseHash: 1, Revision: 9, Removed: []dtdispatch.ServerID{"s1"}},
 		&dtdispatch.RouterLoads{From: "r2", InFlight: map[dtdispatch.ServerRef]int{1: -5}},
 		&dtdispatch.DomainLoads{Domain: "d2", Rates: []dtdispatch.RateReport{{Server: 1, AgeMs: -1 << 63}}},
-		&dtdispatch.StreamNews{Versions: map[string]string{"": ""}},
+		&dtdispatch.VersionNews{Versions: map[string]string{"": ""}},
 		&dtdispatch.FleetLoadSummary{From: "r2", MeanInFlight: map[string]float64{"a": -1}},
 	} {
 		body, err := encode(message)
--- a/dottereltack/dtmesh/mesh.go
+++ b/dottereltack/dtmesh/mesh.go
@@ -38,7 +38,7 @@
 	RouterLoads      *dtdispatch.RouterLoads      `msgpack:"l,omitempty"`
 	DomainLoads      *dtdispatch.DomainLoads      `msgpack:"dl,omitempty"`
 	FleetLoadSummary *dtdispatch.FleetLoadSummary `msgpack:"fl,omitempty"`
-	StreamNews       *dtdispatch.StreamNews       `msgpack:"sn,omitempty"`
+	VersionNews      *dtdispatch.VersionNews      `msgpack:"sn,omitempty"`
 }
 
 // eventQueue receives the messages of peers as events.
@@ -158,8 +158,8 @@
 		e.DomainLoads = v
 	case *dtdispatch.FleetLoadSummary:
 		e.FleetLoadSummary = v
-	case *dtdispatch.StreamNews:
-		e.StreamNews = v
+	case *dtdispatch.VersionNews:
+		e.VersionNews = v
 	}
 	return msgpack.Marshal(&e)
 }
@@ -192,8 +192,8 @@
 		return e.DomainLoads
 	case e.FleetLoadSummary != nil:
 		return e.FleetLoadSummary
-	case e.StreamNews != nil:
-		return e.StreamNews
+	case e.VersionNews != nil:
+		return e.VersionNews
 	}
 	return nil
 }
--- a/dottereltack/dtmesh/mesh_test.go
+++ b/dottereltack/dtmesh/mesh_test.go
@@ -63,7 +63,7 @@
 		&dtdispatch.RouterLoads{From: "a", InFlight: loads},
 		&dtdispatch.DomainLoads{Domain: "d", InFlight: loads, Crashes: crashes, Rates: rates},
 		&dtdispatch.FleetLoadSummary{From: "a", MeanInFlight: map[string]float64{"s": 1.5}, BusyServers: loads, Crashes: crashes, Rates: rates},
-		&dtdispatch.StreamNews{Versions: map[string]string{"9c41": "v1"}},
+		&dtdispatch.VersionNews{Versions: map[string]string{"9c41": "v1"}},
 	}
 	for _, m := range messages {
 		g.Expect(a.Send("b", m)).To(Succeed())
