dtdispatch: a loss of the listed incarnation is kept when its entry is read

Callers could see: a stream of two versions, begun by a server that has crashed again before its entry was read.

Cause: the health of a server is forgotten when a new incarnation is listed, and with it a loss of that incarnation, of which the next one is not listed yet.

Fix: a loss that is later than the start of the listed incarnation by more than clocks differ is kept. One within that of the start may be of the incarnation before and is forgotten.

--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -144,7 +144,7 @@
 		s.emit(LogRecord{Event: "server_left", Subject: string(id)})
 	}
 	for _, id := range added {
-		delete(s.Health, id)
+		s.resetHealth(id)
 		delete(s.ServerRates, id)
 		s.emit(LogRecord{Event: "server_listed", Subject: string(id), Version: s.Roster.Servers[id].Version, Detail: s.Roster.Servers[id].Address})
 	}
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// resetHealth forgets the health of a server that is listed anew, but for a loss of the listed incarnation.
+func (s *State) resetHealth(id ServerID) {
+	h := s.Health[id]
+	delete(s.Health, id)
+	if h == nil {
+		return
+	}
+	certainAt := time.UnixMilli(s.Roster.Servers[id].Start).Add(mixSkew)
+	if h.DownAt.After(certainAt) {
+		s.serverHealth(id).DownAt = h.DownAt
+	}
+	if h.LostAt.After(certainAt) {
+		s.serverHealth(id).LostAt = h.LostAt
+	}
+}
+
 // mayHaveRestarted reports whether a server was down since it was last known to be the listed incarnation.
 func (s *State) mayHaveRestarted(id ServerID) bool {
 	h := s.Health[id]
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -302,3 +302,21 @@
 	r.Expect(told).To(HaveLen(2))
 	r.Expect(told[1].Down).To(Equal([]dtdispatch.ServerID{"s1", "s2", "s3"}))
 }
+
+// TestLossOfAnIncarnationIsKeptWhenItIsListed guards against streams that are not held at a server which has crashed again
+// before its entry was read.
+func TestLossOfAnIncarnationIsKeptWhenItIsListed(t *testing.T) {
+	for _, later := range []time.Duration{0, time.Second} {
+		r := newRouterWithVersions(t, "v1")
+		r.step(dtdispatch.ServerChecked{Server: "s0"})
+		startedAt := r.now.Add(100 * time.Millisecond)
+		r.now = r.now.Add(later)
+		r.step(dtdispatch.ServerChecked{Server: "s0"})
+		r.now = r.now.Add(200 * time.Millisecond)
+		restarted := serversOfVersions("v1")
+		restarted[0].Start = startedAt.UnixMilli()
+		r.listServers(2, restarted...)
+		r.sendRequest("/stream/x")
+		r.Expect(r.onlySend().HoldStream).To(Equal(later > 0))
+	}
+}
