dtdispatch: test late routers by requests that are long under way, too

With 2 s allowed for requests under way, the deliberate faults believe_that_all_hear_at_once and list_nothing_at_an_old_list were no longer caught: the margin hid routers that hear of a change up to 3 s late. TestRouterThatHearsLateDoesNotMixVersions has a router that hears 6 s late, and has the streams taken up again by requests that are 2 s under way; what it checked before stays. Both faults are caught again. Tests of dtdispatch pass. No code is changed.

--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -757,7 +757,7 @@
 // store goes on to begin streams by the old mix, and they are taken up elsewhere before it hears of the change.
 func TestRouterThatHearsLateDoesNotMixVersions(t *testing.T) {
 	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
-	for _, late := range []time.Duration{400 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+	for _, late := range []time.Duration{400 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
 		t.Run(late.String(), func(t *testing.T) {
 			f := newStreams(t, names...)
 			f.begin(3)
@@ -773,6 +773,9 @@
 			}
 			f.names = others
 			f.takeUp() // It fails if one goes on at another version.
+			f.run(2*time.Second, names...)
+			f.transit = 2 * time.Second
+			f.takeUp() // The same for requests that are long under way.
 			f.rejected, f.dropsRosters = nil, false
 			f.run(2*time.Second, names...)
 		})
