--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -66,6 +66,7 @@
 	ServerNews        ServerNews
 	Prompts           PromptIndex
 	Requests          map[RequestNumber]*Request
+	HeldStreams       map[RequestNumber]bool // Streams of which the relay has the first event; some may have been forwarded since.
 	Membership        Membership
 	Peers             Peers
 	ServerListPolling ServerListPolling
@@ -107,6 +108,7 @@
 		RetryBudgets: map[string]*RetryBudget{},
 		Crashes:      NewCrashTracker(Mix(HashString(settings.RouterName), uint64(settings.Start))),
 		Requests:     map[RequestNumber]*Request{},
+		HeldStreams:  map[RequestNumber]bool{},
 	}
 }
 
@@ -272,7 +274,7 @@
 // updateTimer requests a timer for the next task if its time has changed.
 func (s *State) updateTimer(now time.Time) {
 	next := s.Peers.NextStatusTime()
-	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt, s.ServerNews.nextAt()} {
+	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt, s.ServerNews.nextAt(), s.nextHoldEnd(now)} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -28,6 +28,9 @@
 	}
 	r.IsStreamHeld = true
 	s.releaseStream(r, now)
+	if r.IsStreamHeld {
+		s.HeldStreams[r.Number] = true
+	}
 }
 
 // releaseStream forwards a held stream that need not wait any longer. One that goes on at a server that is not known
@@ -61,11 +64,30 @@
 
 // forwardHeldStreams forwards the held streams that need not wait any longer.
 func (s *State) forwardHeldStreams(now time.Time) {
-	for _, number := range sortedKeys(s.Requests) {
-		if r := s.Requests[number]; r.IsStreamHeld {
+	for _, number := range sortedKeys(s.HeldStreams) {
+		r := s.Requests[number]
+		if r != nil && r.IsStreamHeld {
 			s.releaseStream(r, now)
 		}
+		if r == nil || !r.IsStreamHeld {
+			delete(s.HeldStreams, number)
+		}
+	}
+}
+
+// nextHoldEnd returns when the next held stream has waited for maxConfirmHold, or the zero time.
+func (s *State) nextHoldEnd(now time.Time) time.Time {
+	next := time.Time{}
+	for number := range s.HeldStreams {
+		r := s.Requests[number]
+		if r == nil || !r.IsStreamHeld {
+			continue
+		}
+		if at := r.ResponseStartedAt.Add(maxConfirmHold); at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
+	return next
 }
 
 // tellRecorded tells the other routers of the streams that this one is about to record, in case that the store goes away
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -320,3 +320,22 @@
 		r.Expect(r.onlySend().HoldStream).To(Equal(later > 0))
 	}
 }
+
+// TestHoldEndsOnTime guards against callers who leave since no timer is set for the end of a hold.
+func TestHoldEndsOnTime(t *testing.T) {
+	r := newRouterWithVersions(t, "v1")
+	r.step(dtdispatch.ServerChecked{Server: "s0"})
+	r.now = r.now.Add(50 * time.Millisecond)
+	n := r.sendRequest("/stream/x")
+	r.Expect(r.onlySend().HoldStream).To(BeTrue())
+	start, timer := r.now, r.now.Add(time.Second)
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: r.now})
+	for len(effectsOf[dtdispatch.ForwardStream](r.effects)) == 0 {
+		for _, set := range effectsOf[dtdispatch.SetTimer](r.effects) {
+			timer = set.At
+		}
+		r.now = timer
+		r.step(dtdispatch.TimerFired{})
+	}
+	r.Expect(r.now.Sub(start)).To(Equal(1500 * time.Millisecond))
+}
