--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -14,20 +14,11 @@
 	registrationDelay = 300 * time.Millisecond
 	// maxConfirmHold is how long a stream is held for that. Callers give up on a silent stream after two seconds.
 	maxConfirmHold = 1500 * time.Millisecond
-	// serverNewsGap is the time between two messages of a router about servers that are down or drop connections.
-	serverNewsGap = 100 * time.Millisecond
 	// Limits of the streams that are remembered after they have broken off.
 	maxBrokenOff    = 256
 	maxBrokenOffAge = 3 * time.Second
 )
 
-// ServerNews is what this router has yet to tell the others of servers.
-type ServerNews struct {
-	Down   map[ServerID]bool
-	Lost   map[ServerID]bool
-	NextAt time.Time // Nothing is told before.
-}
-
 // recordDown records that a server was down, and tells the other routers.
 func (s *State) recordDown(id ServerID, now time.Time) {
 	s.serverHealth(id).DownAt = now
@@ -46,45 +37,6 @@
 	s.tellServerNewsIfDue(now)
 }
 
-func getOrCreateSet(set *map[ServerID]bool) map[ServerID]bool {
-	if *set == nil {
-		*set = map[ServerID]bool{}
-	}
-	return *set
-}
-
-// nextAt returns when the news is to be told, or the zero time if there is none.
-func (n *ServerNews) nextAt() time.Time {
-	if len(n.Down)+len(n.Lost) == 0 {
-		return time.Time{}
-	}
-	return n.NextAt
-}
-
-// tellServerNewsIfDue tells the other routers of servers, of several at once if there is much to tell.
-func (s *State) tellServerNewsIfDue(now time.Time) {
-	n := &s.ServerNews
-	if len(n.Down)+len(n.Lost) == 0 || now.Before(n.NextAt) {
-		return
-	}
-	s.emit(SendToPeers{Message: &VersionNews{Down: sortedKeys(n.Down), Lost: sortedKeys(n.Lost)}})
-	*n = ServerNews{NextAt: now.Add(serverNewsGap)}
-}
-
-// recordServerNews records what other routers have told of servers, whichever incarnations they list.
-func (s *State) recordServerNews(news *VersionNews, now time.Time) {
-	for _, id := range news.Down {
-		if s.Roster.Servers[id] != nil {
-			s.serverHealth(id).DownAt = now
-		}
-	}
-	for _, id := range news.Lost {
-		if s.Roster.Servers[id] != nil {
-			s.serverHealth(id).LostAt = now
-		}
-	}
-}
-
 // resetHealth forgets the health of a server that is listed anew, but for a loss of the listed incarnation.
 func (s *State) resetHealth(id ServerID) {
 	h := s.Health[id]
--- a/core/dtdispatch/streamhold.go
+++ b/core/dtdispatch/streamhold.go
@@ -7,17 +7,6 @@
 // would be lost with this router. While the store does not take it, and at the end of a graceful stop, the other
 // routers hear of it instead.
 
-// VersionNews tells other routers of streams that have begun at another version than they would work out, and of servers
-// that may have restarted with another version.
-type VersionNews struct {
-	Versions map[string]string `msgpack:"v"`           // By ID of the stream; of those that the sender can't record.
-	Recorded map[string]string `msgpack:"r,omitempty"` // By ID of the stream; of those that the sender records.
-	Down     []ServerID        `msgpack:"d,omitempty"` // Servers that were down.
-	Lost     []ServerID        `msgpack:"l,omitempty"` // Servers that have dropped a connection.
-}
-
-func (*VersionNews) isPeerMessage() {}
-
 // isUnrecorded reports whether the store lacks the version of the stream.
 func (s *State) isUnrecorded(r *Request) bool { return r.RecordSeq > s.StreamVersions.WrittenSeq }
 
@@ -89,43 +78,3 @@
 	}
 	return next
 }
-
-// tellRecorded tells the other routers of the streams that this one is about to record, in case that the store goes away
-// before they read that.
-func (s *State) tellRecorded() {
-	v := &s.StreamVersions
-	recorded := map[string]string{}
-	for id, exception := range v.Exceptions {
-		if exception.IsOwn && exception.Seq > v.ToldSeq {
-			recorded[id] = exception.Version
-		}
-	}
-	v.ToldSeq = v.ExceptionSeq
-	if len(recorded) > 0 {
-		s.emit(SendToPeers{Message: &VersionNews{Recorded: recorded}})
-	}
-}
-
-// handleVersionNews records what another router has told. One router of each failure domain writes it to the record,
-// which the teller can't reach.
-func (s *State) handleVersionNews(news *VersionNews, now time.Time) {
-	s.recordServerNews(news, now)
-	v := &s.StreamVersions
-	for id, version := range news.Recorded {
-		if !v.Exceptions[id].IsOwn {
-			v.addException(id, StreamException{Version: version, At: now}, now)
-		}
-	}
-	for id, version := range news.Versions {
-		if v.Exceptions[id].IsOwn {
-			continue
-		}
-		exception := StreamException{Version: version, At: now, IsOwn: s.isReader(now)}
-		if exception.IsOwn {
-			v.ExceptionSeq++
-			exception.Seq = v.ExceptionSeq
-			v.ExceptionWrite.markDue(now.Add(exceptionDelay))
-		}
-		v.addException(id, exception, now)
-	}
-}
