--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -135,6 +135,8 @@
 	Retries       RetryUsage    // Of the service that the record is about.
 	StreamAge     time.Duration // Time since the stream began, by the time that decides on its version.
 	Progress      Progress      // How far the response had come.
+	Framing       Framing       // Of the response of the server.
+	LastEvent     string        // ID of the last event that has reached the caller.
 	PromptParts   []PromptPart  // Parts of the request's prompt.
 	RateLimit     RateLimit     // Named by the server that the record is about.
 	Backoff       time.Duration // Pause that the server of the record has asked for.
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -69,6 +69,20 @@
 // String returns the name of the stage in logs.
 func (p Progress) String() string { return [...]string{"none", "header", "events"}[p] }
 
+// Framing is how the end of the body of a response is marked.
+type Framing uint8
+
+// Framings of a response.
+const (
+	FramingNone   Framing = iota // There is no response.
+	FramingLength                // By its length.
+	FramingChunks                // By the last of its chunks.
+	FramingClose                 // By the end of the connection.
+)
+
+// String returns the name of the framing in logs.
+func (f Framing) String() string { return [...]string{"none", "length", "chunks", "close"}[f] }
+
 // ServerReport is what a server states about itself in the header of a response.
 type ServerReport struct {
 	ReceivedAt time.Time
@@ -103,6 +117,8 @@
 	Report          *ServerReport // Nil if no response header has arrived or ResponseStarted had it.
 	ResponseStarted bool          // Part of the response has reached the caller.
 	Progress        Progress      // Of the response to this attempt.
+	Framing         Framing       // Of that response.
+	LastEvent       string        // ID of the last event of the stream that has reached the caller, in this attempt or before.
 	Detail          string        // Error text for the log.
 }
 
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -38,10 +38,11 @@
 	Crashes        *CrashNews           `msgpack:"cr,omitempty"`
 	Rates          []RateReport         `msgpack:"rl,omitempty"` // Request rates that servers have named.
 	OperatorNews   `msgpack:",inline"`
-	RosterRevision Revision `msgpack:"r"`
-	RosterHash     uint64   `msgpack:"h"`
-	RosterAgeMs    int64    `msgpack:"a"`
-	IsRosterStable bool     `msgpack:"st,omitempty"` // The server list has been up to date for a while.
+	RosterRevision Revision  `msgpack:"r"`
+	RosterHash     uint64    `msgpack:"h"`
+	RosterAgeMs    int64     `msgpack:"a"`
+	IsRosterStable bool      `msgpack:"st,omitempty"` // The server list has been up to date for a while.
+	SentAt         time.Time `msgpack:"t,omitempty"`  // By the sender's clock; omitted in a large fleet.
 }
 
 // SyncRequest asks a peer for its configuration, its server list or both.
@@ -80,15 +81,16 @@
 
 // Peers is the state of the communication with other routers.
 type Peers struct {
-	ByName            map[string]Peer
-	NextStatusAt      time.Time
-	StatusSentAt      time.Time
-	ConfigRequestedAt time.Time  // Time of the last SyncRequest for the configuration.
-	RosterRequestedAt time.Time  // Time of the last SyncRequest for the server list.
-	RosterSentAt      time.Time  // Time of the last RosterReply to any peer.
-	CrashCursor       NewsCursor // Crash reports sent.
-	RateCursor        NewsCursor // Server rates sent.
-	lastStatus        PeerStatus
+	ByName             map[string]Peer
+	NextStatusAt       time.Time
+	StatusSentAt       time.Time
+	ConfigRequestedAt  time.Time     // Time of the last SyncRequest for the configuration.
+	RosterRequestedAt  time.Time     // Time of the last SyncRequest for the server list.
+	RosterSentAt       time.Time     // Time of the last RosterReply to any peer.
+	CrashCursor        NewsCursor    // Crash reports sent.
+	RateCursor         NewsCursor    // Server rates sent.
+	MaxClockDifference time.Duration // Greatest difference of another router's clock that was logged.
+	lastStatus         PeerStatus
 }
 
 // NewsCursor is the position up to which news of some kind have been sent to some peers.
@@ -102,7 +104,9 @@
 	Domain      string
 	Start       int64
 	LastHeardAt time.Time
-	RosterHash  uint64 // Of its list of servers, as of its last status.
+	RosterHash  uint64        // Of its list of servers, as of its last status.
+	ClockAhead  time.Duration // By how much its clock is ahead of this router's, less the transit of its last status.
+	LoggedAhead time.Duration // ClockAhead as last logged.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -147,7 +151,9 @@
 	if status.Start < previous.Start && now.Sub(previous.LastHeardAt) < staleStatusPeriod {
 		return // A delayed status of an earlier incarnation.
 	}
-	p.ByName[status.From] = Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash}
+	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, LoggedAhead: previous.LoggedAhead}
+	s.observeClock(&peer, status, now)
+	p.ByName[status.From] = peer
 	s.Membership.see(status.From, now)
 	s.addUnlistedRouter(status)
 	if !s.Membership.IsLarge() {
@@ -160,6 +166,21 @@
 	s.syncWithPeer(status, now)
 }
 
+// observeClock records by how much the clock of the sender of a status differs from this router's, and logs it when
+// it changes.
+func (s *State) observeClock(peer *Peer, status *PeerStatus, now time.Time) {
+	if status.SentAt.IsZero() {
+		return
+	}
+	peer.ClockAhead = status.SentAt.Sub(now)
+	if (peer.ClockAhead - peer.LoggedAhead).Abs() <= mixSkew {
+		return
+	}
+	peer.LoggedAhead = peer.ClockAhead
+	s.Peers.MaxClockDifference = max(s.Peers.MaxClockDifference, peer.ClockAhead.Abs())
+	s.emit(LogRecord{Event: "router_clock", Subject: status.From, Elapsed: peer.ClockAhead})
+}
+
 func (s *State) updatePeerLoads(status *PeerStatus, now time.Time) {
 	for id, server := range s.Roster.Servers {
 		if n := status.InFlight[server.Ref()]; n > 0 || s.Loads[id] != nil {
@@ -267,7 +288,7 @@
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
 	if !s.Membership.IsLarge() {
-		status.InFlight = s.inFlight()
+		status.InFlight, status.SentAt = s.inFlight(), now
 	}
 	return status
 }
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -57,6 +57,8 @@
 	MayHaveRun       bool       // An attempt may have been executed.
 	HasServerFailure bool       // The relay has an error response of a server to forward.
 	ResponseStarted  bool       // Part of the response has reached the caller.
+	Framing          Framing    // Of the response to the last attempt that has ended.
+	LastEvent        string     // ID of the last event that had reached the caller then.
 
 	Origin            StreamOrigin // Of a new stream.
 	ResponseStartedAt time.Time    // When the first event of the current attempt arrived.
@@ -179,11 +181,13 @@
 		return
 	}
 	r.ResponseStarted = r.ResponseStarted || ev.ResponseStarted
+	r.Framing, r.LastEvent = ev.Framing, ev.LastEvent
 	s.recordResult(r, &ev, now)
 	if ev.Outcome != OutcomeCompleted {
 		s.emit(LogRecord{
 			Event: "attempt", RequestID: r.ID, Stream: r.stream(), Subject: string(r.Server), Version: r.ServerVersion, Outcome: ev.Outcome.String(),
 			Detail: ev.Detail, Status: ev.Status, Attempt: ev.Attempt, Elapsed: now.Sub(r.ArrivedAt), Progress: ev.Progress,
+			Framing: ev.Framing, LastEvent: ev.LastEvent,
 		})
 	}
 	switch ev.Outcome {
@@ -379,7 +383,7 @@
 	}
 	record := LogRecord{
 		Event: "request", RequestID: r.ID, Stream: r.stream(), Subject: string(r.Server), Version: r.ServerVersion, Outcome: outcome, Status: status, Attempt: r.Attempt,
-		Elapsed: now.Sub(r.ArrivedAt), Account: r.Account, Placement: r.Placement, RouterCount: s.RouterCount(),
+		Elapsed: now.Sub(r.ArrivedAt), Account: r.Account, Placement: r.Placement, RouterCount: s.RouterCount(), Framing: r.Framing, LastEvent: r.LastEvent,
 	}
 	if s.Config != nil {
 		record.ConfigVersion = s.Config.Version
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -54,7 +54,7 @@
 	if len(history.Mixes) > 1 || !isCertain {
 		s.emit(LogRecord{
 			Event: "stream_version", RequestID: r.ID, Stream: r.StreamID, Version: version, Outcome: certainty(isCertain),
-			Elapsed: now.Sub(from), StreamAge: now.Sub(to),
+			Elapsed: now.Sub(from), StreamAge: now.Sub(to), Detail: s.versionSource(r, history, from),
 		})
 	}
 	if !isCertain || !s.hasServer(r.Service, version) {
@@ -114,6 +114,20 @@
 	return until
 }
 
+// versionSource returns what the version of a stream that is no older than from is worked out from, for the log.
+func (s *State) versionSource(r *Request, history *VersionHistory, from time.Time) string {
+	exception, isException := s.StreamVersions.Exceptions[r.StreamID]
+	switch {
+	case isException && exception.IsOwn:
+		return "own_exception"
+	case isException:
+		return "exception"
+	case from.Before(history.FollowedSince):
+		return "record"
+	}
+	return "followed"
+}
+
 func certainty(isCertain bool) string {
 	if isCertain {
 		return "certain"
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -61,9 +61,10 @@
 // VersionHistory is how the mixes of a service have changed. All routers derive the same mixes from the
 // list of servers, so that any of them can tell at which version a stream began.
 type VersionHistory struct {
-	KnownSince time.Time    // The first mix is known to have been in force from then on; zero for all time.
-	Mixes      []VersionMix // In the order of their times.
-	Gaps       []MixGap     // In which further mixes may have been in force.
+	KnownSince    time.Time    // The first mix is known to have been in force from then on; zero for all time.
+	FollowedSince time.Time    // This router has applied the mixes from then on itself; for the log.
+	Mixes         []VersionMix // In the order of their times.
+	Gaps          []MixGap     // In which further mixes may have been in force.
 }
 
 // MixGap is a time in which a router has not followed the list of servers, before the mix as of its end.
@@ -86,6 +87,9 @@
 	if len(h.Mixes) > 0 && !notFollowedSince.IsZero() {
 		h.Gaps = append(h.Gaps, MixGap{From: notFollowedSince, To: now})
 	}
+	if h.FollowedSince.IsZero() {
+		h.FollowedSince = now
+	}
 	h.add(VersionMix{At: now, Weights: weights})
 	h.trim(now)
 }
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -21,6 +21,7 @@
 	listedAtMs    atomic.Int64 // Unix milliseconds.
 	storeEra      atomic.Int64
 	budgetRouters atomic.Int64
+	maxClockMs    atomic.Int64
 }
 
 func (g *gauges) register(set *metrics.Set) {
@@ -34,6 +35,9 @@
 	} {
 		set.NewGauge(name, func() float64 { return float64(value.Load()) })
 	}
+	set.NewGauge("dottereltack_clock_difference_max_seconds", func() float64 {
+		return (time.Duration(g.maxClockMs.Load()) * time.Millisecond).Seconds()
+	})
 	set.NewGauge("dottereltack_server_list_age_seconds", func() float64 {
 		return time.Since(time.UnixMilli(g.listedAtMs.Load())).Seconds()
 	})
@@ -48,6 +52,7 @@
 	n.gauges.listedAtMs.Store(s.Roster.ListedAt.UnixMilli())
 	n.gauges.storeEra.Store(int64(s.StoreEra))
 	n.gauges.budgetRouters.Store(int64(s.BudgetRouters))
+	n.gauges.maxClockMs.Store(s.Peers.MaxClockDifference.Milliseconds())
 	if s.Config != nil {
 		n.gauges.configVersion.Store(s.Config.Version)
 	}
@@ -97,7 +102,7 @@
 	add("outcome", e.Outcome, e.Outcome != "")
 	add("status", e.Status, e.Status != 0)
 	add("attempt", e.Attempt, e.Attempt != 0)
-	add("ms", e.Elapsed.Milliseconds(), e.RequestID != "" || e.Event == "paused" || e.Event == "stream_versions" && e.Elapsed > 0)
+	add("ms", e.Elapsed.Milliseconds(), e.RequestID != "" || e.Event == "paused" || e.Event == "router_clock" || e.Event == "stream_versions" && e.Elapsed > 0)
 	add("kind", e.Kind, e.Kind != "")
 	add("route", e.Route, e.Route != "")
 	add("account", e.Account, e.Account != "")
@@ -115,6 +120,8 @@
 	add("rate_limit", cmp.Or(e.RateLimit.PerSecond, e.Placement.RateLimit.PerSecond), e.RateLimit.IsSet || e.Placement.RateLimit.IsSet || e.Event == "server_limit")
 	add("backoff_ms", e.Backoff.Milliseconds(), e.Backoff != 0)
 	add("progress", e.Progress.String(), e.Progress != dtdispatch.ProgressNone || e.Event == "crash_suspect")
+	add("framing", e.Framing.String(), e.Framing != dtdispatch.FramingNone)
+	add("last_event", e.LastEvent, e.LastEvent != "")
 	add("parts", partIDs(e.PromptParts), len(e.PromptParts) > 0)
 	add("era", e.Era, e.Era != 0)
 	add("list_revision", e.Revision.Number(), e.Revision != 0)
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -70,6 +70,10 @@
 	a.run()
 	a.releaseConn()
 	a.result.ResponseStarted = x.headSent
+	a.result.Framing = framingOf(a.resp)
+	if send.Streaming {
+		a.result.LastEvent = x.lastEventID
+	}
 	if x.isCallerDisconnected() && a.result.Outcome != dtdispatch.OutcomeCompleted {
 		a.result.Outcome = dtdispatch.OutcomeCallerGone
 		x.closeAfterResponse = true
@@ -77,6 +81,19 @@
 	return a.result
 }
 
+// framingOf returns how the end of the body of a response, which may be nil, is marked.
+func framingOf(resp *http.Response) dtdispatch.Framing {
+	switch {
+	case resp == nil:
+		return dtdispatch.FramingNone
+	case len(resp.TransferEncoding) > 0:
+		return dtdispatch.FramingChunks
+	case resp.ContentLength >= 0:
+		return dtdispatch.FramingLength
+	}
+	return dtdispatch.FramingClose
+}
+
 func (a *attempt) setOutcome(o dtdispatch.Outcome, err error) {
 	a.result.Outcome = o
 	if err != nil {
