dtrelay, dtdispatch: have the server checked at the end of a response that ends with its connection

Callers got streams that ended as complete before their last event, and shorter bodies as whole ones. A response without a length and without chunks ends with its connection. If its server is killed, the kernel closes the connection in the same way, and the router forwarded what had come with the last chunk or with a length.

The relay now reports such an end, and the reducer has the server checked: it is gone at that moment if it has been killed, since the listening socket is closed with the connections. The attempt then ends like any lost connection: a stream that is resumable goes on at another server after its last event, any other one breaks off. After a pause of the router the server may be back, and the end counts as a loss without a check.

It costs one connection for each response of that framing. A server that ends by itself right after its last byte counts as killed, and one that is alive and stops early after an event still counts as done.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -32,13 +32,16 @@
 	Until  time.Time
 }
 
-// EndAttempt has the relay end the attempt at a silent server with OutcomeTimedOut, or one whose stream it holds with
-// OutcomeUnconfirmed.
+// EndAttempt has the relay end the attempt at a silent server with OutcomeTimedOut, one whose stream it holds with
+// OutcomeUnconfirmed, or one whose response has ended with its connection with OutcomeConnectionLost.
 type EndAttempt struct{ Number RequestNumber }
 
 // CancelAttempt closes the connection of the current attempt; AttemptEnded follows.
 type CancelAttempt struct{ Number RequestNumber }
 
+// CompleteResponse has the relay take a response that has ended with its connection for complete.
+type CompleteResponse struct{ Number RequestNumber }
+
 // ForwardStream has the relay forward a stream that it holds because of SendRequest.HoldStream.
 type ForwardStream struct{ Number RequestNumber }
 
@@ -61,6 +64,7 @@
 // CheckServer checks whether a server accepts connections; ServerChecked follows.
 type CheckServer struct {
 	Server  ServerID
+	Number  RequestNumber // Whose response has ended with its connection; zero if the check is not for a ResponseClosed.
 	Address string
 }
 
@@ -162,6 +166,7 @@
 func (KeepWaiting) isEffect()        {}
 func (EndAttempt) isEffect()         {}
 func (CancelAttempt) isEffect()      {}
+func (CompleteResponse) isEffect()   {}
 func (ForwardStream) isEffect()      {}
 func (Refuse) isEffect()             {}
 func (ForwardFailure) isEffect()     {}
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -108,6 +108,13 @@
 	Attempt int
 }
 
+// ResponseClosed reports that a response whose end is not marked has ended with its connection; CompleteResponse or
+// EndAttempt follows.
+type ResponseClosed struct {
+	Number  RequestNumber
+	Attempt int
+}
+
 // AttemptEnded reports how an attempt ended.
 type AttemptEnded struct {
 	Number          RequestNumber
@@ -125,6 +132,7 @@
 // ServerChecked reports whether a server accepted a connection.
 type ServerChecked struct {
 	Server ServerID
+	Number RequestNumber // As in CheckServer.
 	Alive  bool
 }
 
@@ -210,6 +218,7 @@
 func (ResponseStarted) isEvent()           {}
 func (AttemptEnded) isEvent()              {}
 func (AttemptSilent) isEvent()             {}
+func (ResponseClosed) isEvent()            {}
 func (ServerChecked) isEvent()             {}
 func (ConfigReceived) isEvent()            {}
 func (ServersListed) isEvent()             {}
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -254,6 +254,10 @@
 // handleServerChecked applies the result of a liveness check of a server that dropped
 // connections.
 func (s *State) handleServerChecked(ev ServerChecked, now time.Time) {
+	if ev.Number != 0 {
+		s.endClosedResponse(ev)
+		return
+	}
 	outcome := "crashed"
 	if ev.Alive {
 		outcome = "alive"
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -127,6 +127,8 @@
 		s.handleResponseStarted(ev, now)
 	case AttemptSilent:
 		s.handleAttemptSilent(ev, now)
+	case ResponseClosed:
+		s.handleResponseClosed(ev)
 	case AttemptEnded:
 		s.handleAttemptEnded(ev, now)
 	case ServerChecked:
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -151,6 +151,8 @@
 		n.Relay.Deliver(e.Number, e)
 	case dtdispatch.EndAttempt:
 		n.Relay.Deliver(e.Number, e)
+	case dtdispatch.CompleteResponse:
+		n.Relay.Deliver(e.Number, e)
 	case dtdispatch.ForwardStream:
 		n.Relay.Deliver(e.Number, e)
 	case dtdispatch.ForwardFailure:
@@ -195,7 +197,7 @@
 		n.Mesh.SetPeers(e.Addresses)
 	case dtdispatch.CheckServer:
 		n.wg.Go(func() {
-			n.Loop.Post(dtdispatch.ServerChecked{Server: e.Server, Alive: n.Relay.CanConnect(e.Address)})
+			n.Loop.Post(dtdispatch.ServerChecked{Server: e.Server, Number: e.Number, Alive: n.Relay.CanConnect(e.Address)})
 		})
 	case dtdispatch.DecodeConfig:
 		n.decodeConfig(e.Source)
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -41,6 +41,7 @@
 	errNotAnEvent           = errors.New("text that is not an event in a stream that goes on")
 	errNoEvent              = errors.New("stream that goes on has ended without an event")
 	errNoEventIDs           = errors.New("stream without event IDs can't go on at another server")
+	errServerGone           = errors.New("server is gone at the end of a response that ends with its connection")
 	errUnconfirmedRefusal   = errors.New("refusal status for a request that may have run")
 )
 
@@ -274,6 +275,10 @@
 		a.setTransportOutcome(err)
 		return
 	}
+	if a.resp.StatusCode < http.StatusMultipleChoices && !a.isEndConfirmed() {
+		a.setOutcome(dtdispatch.OutcomeConnectionLost, errServerGone)
+		return
+	}
 	a.reusable = true
 	resp := &bufferedResponse{status: a.resp.StatusCode, fields: responseFields(a.resp.Header), body: body}
 	switch resp.status {
@@ -291,6 +296,22 @@
 	a.setOutcome(dtdispatch.OutcomeCompleted, nil)
 }
 
+// isEndConfirmed reports whether the response, all of which has been read, is complete. The reducer decides if it has ended
+// with its connection.
+func (a *attempt) isEndConfirmed() bool {
+	if framingOf(a.resp) != dtdispatch.FramingClose {
+		return true
+	}
+	a.exchange.relay.events.Post(dtdispatch.ResponseClosed{Number: a.send.Number, Attempt: a.send.Attempt})
+	select {
+	case e := <-a.exchange.effects:
+		_, isComplete := e.(dtdispatch.CompleteResponse)
+		return isComplete
+	case <-a.exchange.ctx.Done():
+		return false
+	}
+}
+
 func (a *attempt) releaseConn() {
 	if a.conn == nil {
 		return
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -165,7 +165,7 @@
 }
 
 // finishStream ends the response. The attempt fails if the server stopped in the middle
-// of an event, or was to go on with a stream and had no event for it.
+// of an event, is gone, or was to go on with a stream and had no event for it.
 func (a *attempt) finishStream(events *eventSplitter) {
 	if len(events.buffer) > 0 {
 		a.setTransportOutcome(io.ErrUnexpectedEOF)
@@ -175,6 +175,10 @@
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEvent)
 		return
 	}
+	if !a.isEndConfirmed() {
+		a.setOutcome(dtdispatch.OutcomeConnectionLost, errServerGone)
+		return
+	}
 	x := a.exchange
 	x.startStream(a)
 	x.caller.addChunk(nil)
