dtrelay: end a stream at the first thing that is not its next event

Callers got, inside their streams, the head and the events of another response, other texts, and events that they had already. A server that stops in the middle of a response and goes on with another one on the same connection sends its bytes where the rest of the first is due, if that has a length or ends with the connection. The router looked for texts that are no events only in streams that go on, and never at the order of IDs within a response.

Each block must be an event now, also at the begin of a stream, and its ID must be above those before: by the protocol IDs increase. Names of fields are in lower case, so that the head of a response after a part of an event is not taken for an event. The attempt ends as malformed after the last good event; a resumable stream goes on from there.

Not found: bytes of another response that are events with higher IDs.

--- a/dottereltack/dtrelay/sse.go
+++ b/dottereltack/dtrelay/sse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"unicode"
 )
 
 // eventSplitter splits a stream of server-sent events at the blank lines between them.
@@ -12,7 +13,7 @@
 	lastID  string // ID of the last complete event.
 	out     []byte // Result of takeComplete.
 	held    []byte // Events without IDs at the begin of a stream that goes on.
-	goesOn  bool   // An event has come that the caller does not have.
+	goesOn  bool   // An event with an ID has come that the caller does not have.
 }
 
 func (s *eventSplitter) write(b []byte) { s.buffer = append(s.buffer, b...) }
@@ -21,8 +22,9 @@
 func (s *eventSplitter) size() int64 { return int64(len(s.buffer) + len(s.held)) }
 
 // takeComplete removes the complete events from the buffer and returns them, valid until the next call. If the
-// stream goes on after the event afterID, it leaves out those with IDs up to that one, holds those without an ID
-// until another one has come, and returns errNotAnEvent with the events before a text that is none.
+// stream goes on after the event afterID, it leaves out those with IDs up to that one and holds those without an ID
+// until another one has come. With the events before it, it returns errNotAnEvent for a text that is none, and
+// errEventOrder for an event whose ID is not above those before.
 func (s *eventSplitter) takeComplete(afterID string) ([]byte, error) {
 	s.out = s.out[:0]
 	for {
@@ -31,36 +33,40 @@
 			return s.out, nil
 		}
 		event := s.buffer[:n]
-		if afterID != "" && !isEvent(event) {
+		if !isEvent(event) {
 			return s.out, errNotAnEvent
 		}
-		s.take(event, afterID)
+		if !s.take(event, afterID) {
+			return s.out, errEventOrder
+		}
 		s.buffer = s.buffer[n:]
 		s.scanned -= n
 	}
 }
 
-// take adds an event to the result unless it is left out or held.
-func (s *eventSplitter) take(event []byte, afterID string) {
+// take adds an event to the result unless it is left out or held, and returns false if its ID is not above those before.
+func (s *eventSplitter) take(event []byte, afterID string) bool {
 	id := eventID(event)
-	if id != "" {
-		s.lastID = id
-	}
 	switch {
-	case afterID == "" || s.goesOn:
-		if id == "" || afterID == "" || !isAtOrBefore(id, afterID) {
-			s.out = append(s.out, event...)
-		}
+	case id == "" && (s.goesOn || afterID == ""):
+		s.out = append(s.out, event...)
 	case id == "":
 		s.held = append(s.held, event...)
-	case !isAtOrBefore(id, afterID):
+	case s.goesOn && isAtOrBefore(id, s.lastID):
+		return false
+	case s.goesOn || !isAtOrBefore(id, afterID):
 		s.goesOn = true
 		s.out = append(append(s.out, s.held...), event...)
 		s.held = nil
 	}
+	if id != "" {
+		s.lastID = id
+	}
+	return true
 }
 
-// isEvent reports whether each line of a block is a field or a comment.
+// isEvent reports whether each line of a block is a field or a comment. Names of fields are in lower case, other than
+// those in the head of a response.
 func isEvent(block []byte) bool {
 	for line := range bytes.Lines(block) {
 		line = bytes.TrimRight(line, "\r\n")
@@ -68,7 +74,8 @@
 		case "", "data", "id", "event", "retry": // A field may lack its value.
 			continue
 		}
-		if bytes.IndexByte(line, ':') < 0 {
+		name, _, hasColon := bytes.Cut(line, []byte(":"))
+		if !hasColon || bytes.ContainsFunc(name, unicode.IsUpper) {
 			return false
 		}
 	}
@@ -101,8 +108,11 @@
 	return ""
 }
 
-// isAtOrBefore reports whether both IDs are numbers and id is at most afterID.
+// isAtOrBefore reports whether the IDs are equal, or both are numbers and id is below afterID.
 func isAtOrBefore(id, afterID string) bool {
+	if id == afterID {
+		return true
+	}
 	a, errA := strconv.ParseInt(id, 10, 64)
 	b, errB := strconv.ParseInt(afterID, 10, 64)
 	return errA == nil && errB == nil && a <= b
