dtrelay: pass on the empty response to a caller who lacks only the end of a stream

A caller whose stream has broken off after its last event takes it up after that event. The server says with an empty stream of its own that nothing follows, and the router made it a 502: a stream that has all its events could not be completed.

The router required an event of each response that goes on with a stream, which is right where it joins two responses in one: a server that has none may be wrong. A caller who takes a stream up gets the response of one server, which is passed on now if its end is marked, and if the server has sent no event or the caller's last one again at the end.

TestStreamTakenUpAfterItsLastEventIsRefused before the change, cases "nothing" and "the events before":

Expected <int>: 502 to equal <int>: 200

Its other cases (fewer events, an event without an ID, a text) are 502 as before. Within one response nothing changes.

--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -164,6 +164,13 @@
 	x.caller.out.WriteString("\r\n")
 }
 
+// isAtEnd reports whether a response without a new event states that the caller, who has taken the stream up, has all of
+// its events.
+func (a *attempt) isAtEnd(events *eventSplitter) bool {
+	x := a.exchange
+	return !x.headSent && len(events.held) == 0 && framingOf(a.resp) != dtdispatch.FramingClose && (events.lastID == "" || events.lastID == x.lastEventID)
+}
+
 // finishStream ends the response. The attempt fails if the server stopped in the middle
 // of an event, is gone, or was to go on with a stream and had no event for it.
 func (a *attempt) finishStream(events *eventSplitter) {
@@ -171,7 +178,7 @@
 		a.setTransportOutcome(io.ErrUnexpectedEOF)
 		return
 	}
-	if a.isResumed && a.result.Progress != dtdispatch.ProgressEvents {
+	if a.isResumed && a.result.Progress != dtdispatch.ProgressEvents && !a.isAtEnd(events) {
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEvent)
 		return
 	}
