dtdispatch: tell incarnations of a server apart without its clock

Callers got streams of two versions if the clock of a server's host was seconds away from that of a router: the start that a server names was compared with the time at which the router had opened a connection to it. With a clock behind, a stream that the former incarnation had begun was recorded as of the new version; with a clock ahead, one that the new incarnation had begun kept the former version.

TestVersionOfAStreamDoesNotDependOnTheClockOfItsServer failed in 4 of 9 cases at differences of 5 s: "Expected <string>: v2 to equal <string>: v1" (behind, begun before), "v2 to equal ?" (behind, begun after), "v1 to equal v2" and "v1 to equal ?" (ahead, begun after).

A start now only identifies an incarnation. A list that was confirmed without the new one shows that it had not started 0.3 s before, so that a connection from before leads to the former; one opened since the server was seen down, or since the new entry was listed, leads to the new; between them the version is unknown, as it was within 0.25 s of the start.

--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -133,6 +133,9 @@
 
 // handleRosterChange discards the state of removed servers and the health of added ones.
 func (s *State) handleRosterChange(added, removed []ServerID, now time.Time) {
+	for _, id := range added {
+		s.observeStart(id)
+	}
 	if len(added) > 0 {
 		s.correctVersions(now)
 	}
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -95,6 +95,7 @@
 	next := make(map[ServerID]*Server, len(list))
 	for i := range list {
 		list[i].FirstListedAt = r.firstListedAt(&list[i], now)
+		list[i].UnlistedUntil, list[i].UpSince = r.upTimes(&list[i])
 		list[i].ColdUntil = r.coldUntil(&list[i], now)
 		next[list[i].ID] = newerEntry(r.Servers[list[i].ID], &list[i], now.Before(r.CopiesLapseAt))
 	}
@@ -146,6 +147,14 @@
 	return now
 }
 
+// upTimes returns the UnlistedUntil and UpSince of a server whose FirstListedAt is set.
+func (r *Roster) upTimes(server *Server) (unlistedUntil, upSince time.Time) {
+	if old := r.Servers[server.ID]; old != nil && old.Start == server.Start {
+		return old.UnlistedUntil, old.UpSince
+	}
+	return r.ListedAt, server.FirstListedAt
+}
+
 // coldUntil returns the end of a listed server's cold period, or the zero time if it is warm.
 // An unchanged entry does not extend the period.
 func (r *Roster) coldUntil(server *Server, now time.Time) time.Time {
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -128,20 +128,28 @@
 // unknownVersion is recorded as the version of a stream that either incarnation of a server may have begun.
 const unknownVersion = "?"
 
+// observeStart notes that an incarnation that is listed anew has started since the server was seen down, if that was not
+// long before.
+func (s *State) observeStart(id ServerID) {
+	server, h := s.Roster.Servers[id], s.Health[id]
+	if h != nil && h.DownAt.After(server.earliestStart().Add(-crashMergePeriod)) && h.DownAt.Before(server.UpSince) {
+		server.UpSince = h.DownAt.Add(1) // A connection opened at that time may be the one that was lost.
+	}
+}
+
+// earliestStart returns the time at which this incarnation of a server may have started at the earliest, by the clock of
+// this router.
+func (s *Server) earliestStart() time.Time { return s.UnlistedUntil.Add(-registrationDelay) }
+
 // isOnNewIncarnation reports whether a connection leads to the listed incarnation of a server rather than to the one
-// that started at start, and whether that is certain. The clocks of hosts differ.
+// that started at start, and whether that is certain. The clocks of hosts differ, so that start only identifies an
+// incarnation.
 func (s *State) isOnNewIncarnation(id ServerID, start int64, connectedAt time.Time) (isNew, isCertain bool) {
 	server := s.Roster.Servers[id]
-	if server == nil || server.Start == start {
+	if server == nil || server.Start == start || connectedAt.Before(server.earliestStart()) {
 		return false, true
 	}
-	startedAt := time.UnixMilli(server.Start)
-	if connectedAt.Before(startedAt.Add(-mixSkew)) {
-		return false, true
-	}
-	h := s.Health[id]
-	wasDown := h != nil && h.DownAt.After(startedAt.Add(-crashMergePeriod)) && connectedAt.After(h.DownAt)
-	return true, wasDown || !connectedAt.Before(startedAt.Add(mixSkew))
+	return true, !connectedAt.Before(server.UpSince)
 }
 
 // correctOrigin applies the listed incarnation of the server that has begun a new stream.
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -339,3 +339,51 @@
 	}
 	r.Expect(r.now.Sub(start)).To(Equal(1500 * time.Millisecond))
 }
+
+// clockDifferences holds by how much the clock of a server's host is ahead of that of a router.
+var clockDifferences = []time.Duration{-5 * time.Second, 0, 5 * time.Second}
+
+// TestVersionOfAStreamDoesNotDependOnTheClockOfItsServer guards against streams of two versions: the clock of the host of a
+// server that has restarted with other software tells the wrong incarnation.
+func TestVersionOfAStreamDoesNotDependOnTheClockOfItsServer(t *testing.T) {
+	begin := func(r *router, connectedAt time.Time) dtdispatch.ServerID {
+		n := r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) { ev.ID, ev.CallerTimeout = "first", callerTimeout })
+		server := r.onlySend().Server
+		r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: connectedAt})
+		return server
+	}
+	for _, ahead := range clockDifferences {
+		t.Run(fmt.Sprint("begun by the former incarnation, clock ahead by ", ahead), func(t *testing.T) {
+			r := newRouterWithVersions(t, "v1", "v1", "v1")
+			openedAt := r.now
+			r.now = r.now.Add(time.Second)
+			r.listServers(2, serversOfVersions("v1", "v1", "v1")...)
+			server := begin(r, openedAt)
+			r.now = r.now.Add(time.Second)
+			r.listServers(3, restartedAt(3, server, r.now.Add(ahead))...)
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.sendRequest("/stream/x", resuming("first"), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - time.Second })
+			r.step(dtdispatch.VersionRecordRead{})
+			r.Expect(r.versionOf(r.onlySend().Server)).To(Equal("v1"))
+		})
+		for _, wasSeenDown := range []bool{true, false} {
+			t.Run(fmt.Sprintf("begun by the new incarnation, clock ahead by %s, seen down: %t", ahead, wasSeenDown), func(t *testing.T) {
+				r := newRouterWithVersions(t, "v1")
+				if wasSeenDown {
+					r.step(dtdispatch.ServerChecked{Server: "s0"})
+				}
+				r.now = r.now.Add(time.Second)
+				startedAt := r.now
+				r.now = r.now.Add(100 * time.Millisecond)
+				begin(r, r.now)
+				r.now = r.now.Add(100 * time.Millisecond)
+				r.listServers(2, restartedAt(1, "s0", startedAt.Add(ahead))...)
+				expected := "v2"
+				if !wasSeenDown {
+					expected = "?"
+				}
+				r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal(expected))
+			})
+		}
+	}
+}
