dtdispatch: date the loss of a server without its clock

Once a restarted server was listed, its loss was kept or forgotten by whether it came after the start that the server names. With a clock 5 s ahead a server that had crashed again before its entry was read counted as not lost, so that streams were not held there; with one 5 s behind the loss of the former incarnation was kept, and streams were held for it.

TestLossOfAnIncarnationIsKeptWhenItIsListed, at three clocks, failed in two of six cases: "Expected <bool>: true to equal <bool>: false" (behind, no second crash) and "false to equal true" (ahead, second crash). The former test had no list confirmed between the crash and the entry, so that nothing but the server's clock told whose the loss was; now the list is confirmed 0.4 s after it. It is as strict on both results, at three clocks instead of one.

A loss counts as one of the listed incarnation if it came after the time at which that may have started, 0.3 s before the list was last confirmed without it. A loss within that time that was the former's is kept, too, until the next list confirms the server.

--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -37,18 +37,18 @@
 	s.tellServerNewsIfDue(now)
 }
 
-// resetHealth forgets the health of a server that is listed anew, but for a loss of the listed incarnation.
+// resetHealth forgets the health of a server that is listed anew, but for a loss that may be one of the listed incarnation.
 func (s *State) resetHealth(id ServerID) {
 	h := s.Health[id]
 	delete(s.Health, id)
 	if h == nil {
 		return
 	}
-	certainAt := time.UnixMilli(s.Roster.Servers[id].Start).Add(mixSkew)
-	if h.DownAt.After(certainAt) {
+	startedAt := s.Roster.Servers[id].earliestStart()
+	if h.DownAt.After(startedAt) {
 		s.serverHealth(id).DownAt = h.DownAt
 	}
-	if h.LostAt.After(certainAt) {
+	if h.LostAt.After(startedAt) {
 		s.serverHealth(id).LostAt = h.LostAt
 	}
 }
--- a/core/dtdispatch/streamrestart_test.go
+++ b/core/dtdispatch/streamrestart_test.go
@@ -304,20 +304,28 @@
 }
 
 // TestLossOfAnIncarnationIsKeptWhenItIsListed guards against streams that are not held at a server which has crashed again
-// before its entry was read.
+// before its entry was read, and against holds for a crash of the former incarnation.
 func TestLossOfAnIncarnationIsKeptWhenItIsListed(t *testing.T) {
-	for _, later := range []time.Duration{0, time.Second} {
-		r := newRouterWithVersions(t, "v1")
-		r.step(dtdispatch.ServerChecked{Server: "s0"})
-		startedAt := r.now.Add(100 * time.Millisecond)
-		r.now = r.now.Add(later)
-		r.step(dtdispatch.ServerChecked{Server: "s0"})
-		r.now = r.now.Add(200 * time.Millisecond)
-		restarted := serversOfVersions("v1")
-		restarted[0].Start = startedAt.UnixMilli()
-		r.listServers(2, restarted...)
-		r.sendRequest("/stream/x")
-		r.Expect(r.onlySend().HoldStream).To(Equal(later > 0))
+	for _, ahead := range clockDifferences {
+		for _, crashesAgain := range []bool{false, true} {
+			t.Run(fmt.Sprintf("clock ahead by %s, crashes again: %t", ahead, crashesAgain), func(t *testing.T) {
+				r := newRouterWithVersions(t, "v1")
+				r.step(dtdispatch.ServerChecked{Server: "s0"})
+				r.now = r.now.Add(400 * time.Millisecond)
+				r.listServers(2, serversOfVersions("v1")...)
+				startedAt := r.now.Add(100 * time.Millisecond)
+				r.now = r.now.Add(800 * time.Millisecond)
+				if crashesAgain {
+					r.step(dtdispatch.ServerChecked{Server: "s0"})
+				}
+				r.now = r.now.Add(200 * time.Millisecond)
+				restarted := serversOfVersions("v1")
+				restarted[0].Start = startedAt.Add(ahead).UnixMilli()
+				r.listServers(3, restarted...)
+				r.sendRequest("/stream/x")
+				r.Expect(r.onlySend().HoldStream).To(Equal(crashesAgain))
+			})
+		}
 	}
 }
 
