dtdispatch: tell whose notice it was without the server's clock

A server that had announced that it was leaving and came back under its ID got no requests for as long as it was listed if its host's clock was behind by more than 2 s; one that had restarted before it announced that, and was listed later, got requests again if its clock was ahead, or within 2 s of its start at any clock. The start that the server names was compared with the time of the response, with 2 s of leniency.

TestRestartedServerIsNoLongerLeaving at three clocks failed in three of nine cases: no request sent ("to have length 1") at 5 s behind, "Expected <bool>: true to be false" at equal clocks and 5 s ahead. The former test listed the new incarnation 5 s after the notice with no list confirmed between, so that nothing but the clock told that it had started since; now the list is confirmed in between, and the case without is a test of its own.

A notice ends with an entry whose incarnation can only have started since: the list was confirmed without it 0.3 s after the notice or later. Otherwise it may be of either, and holds for 10 s, by which time a server that was leaving is gone.

Tests of notices pass.

--- a/core/dtdispatch/availability_test.go
+++ b/core/dtdispatch/availability_test.go
@@ -1,6 +1,7 @@
 package dtdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,20 +88,50 @@
 	})
 }
 
+// TestRestartedServerIsNoLongerLeaving guards against a server that gets no requests after it has restarted, or gets them
+// though it is leaving, since the clock of its host differs.
 func TestRestartedServerIsNoLongerLeaving(t *testing.T) {
-	r := newRouter(t, 1)
-	left := r.leave(dtdispatch.OutcomeCompleted)
-	older := testServers(1)
-	older[0].Start = r.now.Add(-time.Minute).UnixMilli()
-	r.listServers(2, older...)
-	r.sendRequest("/once/x")
-	r.Expect(r.onlyRefusal().Status).To(Equal(503), "an incarnation that started before the announcement")
-	r.advance(5 * time.Second)
-	restarted := testServers(1)
-	restarted[0].Start = r.now.UnixMilli()
-	r.listServers(3, restarted...)
-	r.Expect(r.serversOf(1)).To(HaveKey(left))
-	r.Expect(r.state.Notices).To(BeEmpty())
+	started := func(at time.Time) dtdispatch.Server {
+		server := testServers(1)[0]
+		server.Start = at.UnixMilli()
+		return server
+	}
+	isUsed := func(r *router) bool {
+		r.sendRequest("/once/x")
+		return len(effectsOf[dtdispatch.SendRequest](r.effects)) > 0
+	}
+	for _, ahead := range clockDifferences {
+		t.Run(fmt.Sprint("it restarts after it has left, clock ahead by ", ahead), func(t *testing.T) {
+			r := newRouter(t, 1)
+			left := r.leave(dtdispatch.OutcomeCompleted)
+			r.now = r.now.Add(time.Second)
+			r.listServers(2, testServers(1)...)
+			r.Expect(isUsed(r)).To(BeFalse())
+			r.now = r.now.Add(200 * time.Millisecond)
+			r.listServers(3, started(r.now.Add(ahead)))
+			r.Expect(r.serversOf(1)).To(HaveKey(left))
+			r.Expect(r.state.Notices).To(BeEmpty())
+		})
+		t.Run(fmt.Sprint("it had restarted before, which is listed late, clock ahead by ", ahead), func(t *testing.T) {
+			r := newRouter(t, 1)
+			r.now = r.now.Add(5 * time.Second)
+			startedAt := r.now.Add(-time.Second)
+			r.leave(dtdispatch.OutcomeCompleted)
+			for range 2 {
+				r.now = r.now.Add(3 * time.Second)
+				r.listServers(2, started(startedAt.Add(ahead)))
+				r.Expect(isUsed(r)).To(BeFalse())
+			}
+		})
+		t.Run(fmt.Sprint("it restarts while the list is not read, clock ahead by ", ahead), func(t *testing.T) {
+			r := newRouter(t, 1)
+			r.leave(dtdispatch.OutcomeCompleted)
+			r.now = r.now.Add(5 * time.Second)
+			r.listServers(2, started(r.now.Add(ahead-time.Second)))
+			r.now = r.now.Add(11 * time.Second)
+			r.Expect(isUsed(r)).To(BeTrue())
+		})
+	}
 }
 
 // TestServerGetsRequestsDuringItsBackoff guards against a server that is sent requests although it
--- a/core/dtdispatch/notice.go
+++ b/core/dtdispatch/notice.go
@@ -4,9 +4,9 @@
 
 // Parameters of what servers announce in their responses.
 const (
-	maxServerBackoff    = 5 * time.Minute  // Longer pauses that a server asks for are cut to this.
-	noticeRetention     = 10 * time.Minute // Time for which the notice of a server that is no longer listed is kept.
-	incarnationLeniency = 2 * time.Second  // Clocks of hosts may differ by this much.
+	maxServerBackoff      = 5 * time.Minute  // Longer pauses that a server asks for are cut to this.
+	noticeRetention       = 10 * time.Minute // Time for which the notice of a server that is no longer listed is kept.
+	uncertainNoticePeriod = 10 * time.Second // Time for which one holds that may be of the listed incarnation or of the former.
 )
 
 // ServerNotice is what a server has announced about itself in responses to this router.
@@ -17,20 +17,22 @@
 	BackoffUntil time.Time // No requests are wanted until then.
 }
 
-// appliesTo reports whether the notice may have come from the listed incarnation of a server. An
-// entry that is older than the notice does not end it, because lists may lag behind responses.
-func (n *ServerNotice) appliesTo(server *Server) bool {
+// appliesTo reports whether the notice may have come from the listed incarnation of a server. Lists may lag behind
+// responses, so that one which was listed since has ended it for certain only if it started after the notice; otherwise
+// a server that was leaving is gone after uncertainNoticePeriod.
+func (n *ServerNotice) appliesTo(server *Server, now time.Time) bool {
 	if n.Start == server.Start || n.Start == 0 || server.Start == 0 {
 		return true
 	}
-	return server.Start < n.ReceivedAt.Add(-incarnationLeniency).UnixMilli()
+	hasStartedSince := !server.earliestStart().Before(n.ReceivedAt)
+	return !hasStartedSince && now.Sub(later(server.FirstListedAt, n.ReceivedAt)) <= uncertainNoticePeriod
 }
 
 // announcedAvailability applies what the server has announced in its responses.
 func (s *State) announcedAvailability(server *Server, now time.Time) Availability {
 	notice := s.Notices[server.ID]
 	switch {
-	case notice == nil || !notice.appliesTo(server):
+	case notice == nil || !notice.appliesTo(server, now):
 		return Availability{}
 	case notice.Leaving:
 		return Availability{Block: BlockLeaving}
@@ -47,7 +49,7 @@
 		return
 	}
 	notice := s.Notices[server.ID]
-	if notice == nil || !notice.appliesTo(server) {
+	if notice == nil || !notice.appliesTo(server, report.ReceivedAt) {
 		notice = &ServerNotice{}
 		s.Notices[server.ID] = notice
 	}
@@ -70,7 +72,7 @@
 func (s *State) forgetNotices(now time.Time) {
 	for id, notice := range s.Notices {
 		server := s.Roster.Servers[id]
-		isOver := server != nil && !notice.appliesTo(server)
+		isOver := server != nil && !notice.appliesTo(server, now)
 		isOld := server == nil && now.Sub(notice.ReceivedAt) > noticeRetention
 		if isOver || isOld {
 			delete(s.Notices, id)
