dtdispatch: age the servers of a first list without their clocks

A router that starts took the start that each server names for the time of its first listing, by its own clock. With a clock 5 s ahead, servers that had been up for 12 s were no source of cached prompts, so that these were read again; with one 5 s behind, a cold server that had just started was one.

TestCacheIsCopiedWhateverTheClocksOfServers failed in two of six cases: "Expected <string>: 10.0.0.0:80 to equal <string>: (empty)" (behind, cold) and the reverse (ahead, warm).

How long a server still is cold is a duration, and tells a server that has just started from others. All cases pass.

--- a/core/dtdispatch/place_test.go
+++ b/core/dtdispatch/place_test.go
@@ -1,6 +1,7 @@
 package dtdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -324,3 +325,36 @@
 		}
 	})
 }
+
+// TestCacheIsCopiedWhateverTheClocksOfServers guards against prompts that are read again, or copied from a server that has
+// just started, since the clocks of the servers' hosts differ from that of a router which starts.
+func TestCacheIsCopiedWhateverTheClocksOfServers(t *testing.T) {
+	for _, ahead := range clockDifferences {
+		for coldFor, age := range map[time.Duration]time.Duration{0: 12 * time.Second, 3 * time.Second: 6 * time.Second} {
+			t.Run(fmt.Sprintf("clock ahead by %s, cold for %s", ahead, coldFor), func(t *testing.T) {
+				r := newEmptyRouter(t, "r1")
+				list := testServers(9)
+				for i := range list {
+					list[i].Start, list[i].ColdFor = r.now.Add(ahead-age).UnixMilli(), coldFor
+				}
+				config := testConfig(1)
+				config.Services["a"] = dtdispatch.Service{Name: "a", MaxConnections: 100}
+				r.step(dtdispatch.ConfigReceived{Config: config})
+				r.listServers(1, list...)
+				r.sendRequest("/stream/x", withPrompt(7))
+				first, source := r.onlySend(), ""
+				for range 9 {
+					r.sendRequest("/stream/x", withPrompt(7))
+					if send := r.onlySend(); send.Server != first.Server && source == "" {
+						source = send.CacheSource
+					}
+				}
+				expected := first.Address
+				if coldFor > 0 {
+					expected = ""
+				}
+				r.Expect(source).To(Equal(expected))
+			})
+		}
+	}
+}
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -133,13 +133,12 @@
 	}
 }
 
-// firstListedAt returns the time when the incarnation of a server was first listed.
+// firstListedAt returns the time when the incarnation of a server was first listed. One of the first list has been up for
+// an unknown time, which is short if it is cold.
 func (r *Roster) firstListedAt(server *Server, now time.Time) time.Time {
 	old := r.Servers[server.ID]
 	switch {
-	case r.Servers == nil && server.Start > 0:
-		return time.UnixMilli(server.Start)
-	case r.Servers == nil:
+	case r.Servers == nil && server.ColdFor == 0:
 		return time.Time{}
 	case old != nil && old.Start == server.Start:
 		return old.FirstListedAt
--- a/core/dtdispatch/server.go
+++ b/core/dtdispatch/server.go
@@ -24,7 +24,7 @@
 	ColdFor       time.Duration // Remaining cold period when listed; a cold server has started recently and handles only Service.ColdRate requests per second.
 	Version       string        // Version of the server's software; empty if it names none.
 	ColdUntil     time.Time     `msgpack:"-"` // Derived from ColdFor, which is what peers get, because the clocks of hosts differ.
-	FirstListedAt time.Time     `msgpack:"-"` // Time when this router first listed the server; for servers of its first list, the start time, or zero if unknown.
+	FirstListedAt time.Time     `msgpack:"-"` // Time when this router first listed the server; zero for a server of its first list that was not cold.
 	UnlistedUntil time.Time     `msgpack:"-"` // Time as of which the list was last known not to have this incarnation; zero for servers of the first list.
 	UpSince       time.Time     `msgpack:"-"` // Connections that were opened since lead to this incarnation.
 	IDHash        uint64        `msgpack:"-"`
