dtdispatch, dtrelay: a busy server is not taken for one that is gone

At the end of a response that ends with its connection, a server that did not accept another connection within 0.4 s counted as killed. One with too many connections, or whose queue of them is full, does not accept in time either: its whole response would have been 502 where the request may not be repeated, and broken off for a stream.

A process that was killed has its connections refused by its host. Only that counts now.

--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -131,9 +131,10 @@
 
 // ServerChecked reports whether a server accepted a connection.
 type ServerChecked struct {
-	Server ServerID
-	Number RequestNumber // As in CheckServer.
-	Alive  bool
+	Server  ServerID
+	Number  RequestNumber // As in CheckServer.
+	Alive   bool
+	Refused bool // No process listens at its address.
 }
 
 // ConfigReceived delivers a decoded configuration.
--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -1,7 +1,8 @@
 package dtdispatch
 
 // A response without a length and without chunks ends with its connection, which the kernel closes in the same way if
-// the server is killed. It is complete if the server still accepts connections.
+// the server is killed. It is complete unless no process listens at the address of the server any more; one that has
+// too many connections may not accept another in time.
 
 // handleResponseClosed has the server of a response checked that has ended with its connection. After a pause of this
 // router, the server may have been killed and be back.
@@ -19,9 +20,9 @@
 func (s *State) endClosedResponse(ev ServerChecked) {
 	switch {
 	case s.Requests[ev.Number] == nil:
-	case ev.Alive:
-		s.emit(CompleteResponse{Number: ev.Number})
-	default:
+	case ev.Refused:
 		s.emit(EndAttempt{Number: ev.Number})
+	default:
+		s.emit(CompleteResponse{Number: ev.Number})
 	}
 }
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -13,12 +13,14 @@
 // complete depends on whether its server still accepts connections, which says nothing after a pause of the router.
 func TestResponseOfAServerThatIsGoneLooksComplete(t *testing.T) {
 	for name, tc := range map[string]struct {
-		isPaused, isAlive bool
-		want              dtdispatch.Effect
+		isPaused bool
+		checked  dtdispatch.ServerChecked
+		want     dtdispatch.Effect
 	}{
-		"the server lives":                     {false, true, dtdispatch.CompleteResponse{Number: 1}},
-		"the server is gone":                   {false, false, dtdispatch.EndAttempt{Number: 1}},
-		"the router has just had a long pause": {true, true, dtdispatch.EndAttempt{Number: 1}},
+		"the server lives":                     {false, dtdispatch.ServerChecked{Alive: true}, dtdispatch.CompleteResponse{Number: 1}},
+		"the server does not accept in time":   {false, dtdispatch.ServerChecked{}, dtdispatch.CompleteResponse{Number: 1}},
+		"the server is gone":                   {false, dtdispatch.ServerChecked{Refused: true}, dtdispatch.EndAttempt{Number: 1}},
+		"the router has just had a long pause": {true, dtdispatch.ServerChecked{Alive: true}, dtdispatch.EndAttempt{Number: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(t, 2)
@@ -31,7 +33,8 @@
 			effects := r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt})
 			if !tc.isPaused {
 				r.Expect(effects).To(ContainElement(dtdispatch.CheckServer{Server: send.Server, Number: send.Number, Address: send.Address}))
-				effects = r.step(dtdispatch.ServerChecked{Server: send.Server, Number: send.Number, Alive: tc.isAlive})
+				tc.checked.Server, tc.checked.Number = send.Server, send.Number
+				effects = r.step(tc.checked)
 			}
 			r.Expect(effects).To(ContainElement(tc.want))
 			r.Expect(r.state.Requests).To(HaveLen(1), "until the relay has ended the attempt")
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -197,7 +197,8 @@
 		n.Mesh.SetPeers(e.Addresses)
 	case dtdispatch.CheckServer:
 		n.wg.Go(func() {
-			n.Loop.Post(dtdispatch.ServerChecked{Server: e.Server, Number: e.Number, Alive: n.Relay.CanConnect(e.Address)})
+			isAlive, isRefused := n.Relay.Check(e.Address)
+			n.Loop.Post(dtdispatch.ServerChecked{Server: e.Server, Number: e.Number, Alive: isAlive, Refused: isRefused})
 		})
 	case dtdispatch.DecodeConfig:
 		n.decodeConfig(e.Source)
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -151,14 +153,14 @@
 	}
 }
 
-// CanConnect reports whether a server accepts a connection within connectCheckTimeout.
-func (r *Relay) CanConnect(address string) bool {
+// Check reports whether a server accepts a connection within connectCheckTimeout, or its host refuses it.
+func (r *Relay) Check(address string) (isAlive, isRefused bool) {
 	c, err := r.pool.dial(context.Background(), address, connectCheckTimeout)
 	if err != nil {
-		return false
+		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = c.Close()
-	return true
+	return true, false
 }
 
 // acceptLoop accepts connections of callers until the listener is closed.
