dtrelay: send streams to callers of HTTP/1.0 without chunks, and reset those that are broken off

Callers of HTTP/1.0 got a stream with the sizes of its chunks in it, and one that was broken off looked like a complete one, as both end with the connection. HTTP/1.0 has no chunked coding; a request of that version was served like any other.

Such a caller gets the events alone now. From the head of the response on the connection is reset if it is closed, also by the kernel if the process is killed, until the stream has ended.

Plain responses have a length and are as before.

--- a/dottereltack/dtrelay/caller.go
+++ b/dottereltack/dtrelay/caller.go
@@ -140,6 +140,16 @@
 	c.out.WriteString("\r\n")
 }
 
+// setResetOnClose sets whether the connection is reset when it is closed, also by the kernel at the end of the process.
+func (c *callerConn) setResetOnClose(reset bool) {
+	const discardUnsent, sendUnsent = 0, -1
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(discardUnsent)
+	} else if ok {
+		_ = tcp.SetLinger(sendUnsent)
+	}
+}
+
 // addChunk adds a chunk of the body to the buffer. An empty chunk ends the body.
 func (c *callerConn) addChunk(b []byte) {
 	const hexadecimal = 16
--- a/dottereltack/dtrelay/head.go
+++ b/dottereltack/dtrelay/head.go
@@ -38,6 +38,7 @@
 	Length         int           // Length of the body in bytes, or chunkedLength.
 	ReadAt         time.Time     // When the head had been read.
 	Close          bool          // The connection is to be closed after the response.
+	IsHTTP10       bool          // The caller can't read a chunked body.
 	ExpectContinue bool          // The caller waits for status 100 before it sends the body.
 }
 
@@ -107,7 +108,7 @@
 	switch parts[2] {
 	case "HTTP/1.1":
 	case "HTTP/1.0":
-		h.Close = true
+		h.Close, h.IsHTTP10 = true, true
 	default:
 		return errMalformedHead
 	}
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -110,7 +110,11 @@
 		return err
 	}
 	x.startStream(a)
-	x.caller.addChunk(events)
+	if x.head.IsHTTP10 {
+		x.caller.out.Write(events)
+	} else {
+		x.caller.addChunk(events)
+	}
 	x.lastEventID = lastID
 	if err := x.caller.flush(); err != nil {
 		x.cancelAttempt()
@@ -160,10 +164,26 @@
 		fields = append(fields, HeaderField{Name: "Connection", Value: "close"})
 	}
 	x.caller.startHead(a.resp.StatusCode, fields)
-	x.caller.addField("Transfer-Encoding", "chunked")
+	if x.head.IsHTTP10 {
+		x.caller.setResetOnClose(true) // The end of the connection would end the body.
+	} else {
+		x.caller.addField("Transfer-Encoding", "chunked")
+	}
 	x.caller.out.WriteString("\r\n")
 }
 
+// endStream writes the end of the body to the caller.
+func (x *exchange) endStream() error {
+	if !x.head.IsHTTP10 {
+		x.caller.addChunk(nil)
+	}
+	err := x.caller.flush()
+	if err == nil && x.head.IsHTTP10 {
+		x.caller.setResetOnClose(false)
+	}
+	return err
+}
+
 // isAtEnd reports whether a response without a new event states that the caller, who has taken the stream up, has all of
 // its events.
 func (a *attempt) isAtEnd(events *eventSplitter) bool {
@@ -188,8 +208,7 @@
 	}
 	x := a.exchange
 	x.startStream(a)
-	x.caller.addChunk(nil)
-	if err := x.caller.flush(); err != nil {
+	if err := x.endStream(); err != nil {
 		x.cancelAttempt()
 		a.setOutcome(dtdispatch.OutcomeCallerGone, errCallerWrite)
 		x.closeAfterResponse = true
