dtsoak: play streams of one version in all framings while servers and routers are killed

No play had servers that end their responses with the connection, and none looked at streams that end as complete too early beside kills that close connections without a reset.

TestStreamsAreWhole does: eight router processes, servers that frame streams by length, chunks or the end of the connection, write some a few bytes at a time, stall within an event, hang, or go on with the response to another request, and are killed; routers that are killed, stopped, paused and reloaded while their routes change; callers that read slowly, leave, and take streams up again while the first router still sends.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build run test lint unit measure fuzz soak release mutate tools clean
+.PHONY: build run test lint unit measure fuzz soak release streams mutate tools clean
 
 build:
 	go build -o bin/ ./dottereltack ./dottereltack-stand ./dottereltack-load
@@ -44,6 +44,9 @@
 release:
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsOfARelease -known.red -release.seeds $(SOAK_SEEDS) -release.first $(or $(SOAK_FIRST),$(shell date +%s))
 
+streams:
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsAreWhole -streams.seeds $(SOAK_SEEDS) -streams.first $(or $(SOAK_FIRST),$(shell date +%s))
+
 mutate:
 	scripts/mutate
 
