dtdispatch: read the version record again no sooner than its interval

Where a recorded gap ended later than the last read by the reader's clock, the router that is to write the mixes read the record again as soon as it was answered, since the write before which it reads did not wait for Reading.NextAt: the store got as many calls as it could answer. TestRecordIsReadAtIntervals before: 200 reads, at which it stops, expected at most 41 in 5 s.

The time at which the mixes are written is no earlier than NextAt if the record must be read first.

--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -917,3 +917,23 @@
 		r.Expect(listed).To(BeZero())
 	})
 }
+
+// TestRecordIsReadAtIntervals guards against a router that reads the record again as often as it is answered, since a
+// recorded gap ends later than its own clock says.
+func TestRecordIsReadAtIntervals(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v2")
+	read := recordOfTwoVersions()
+	history := read.Record.Histories["a"]
+	history.Gaps = []dtdispatch.MixGap{{From: r.now, To: r.now.Add(10 * time.Second)}}
+	history.Mixes[0].Weights = map[string]int{"v1": 1}
+	read.Record.Histories["a"] = history
+	reads := 0
+	for end := r.now.Add(5 * time.Second); r.now.Before(end) && reads < 200; {
+		effects := r.advance(50 * time.Millisecond)
+		for len(effectsOf[dtdispatch.ReadVersionRecord](effects)) > 0 && reads < 200 {
+			reads++
+			effects = r.step(read)
+		}
+	}
+	r.Expect(reads).To(And(BeNumerically(">", 0), BeNumerically("<=", 41)), "one each 50 ms, 3 s after the start")
+}
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -205,7 +205,17 @@
 	if at.IsZero() || v.Reading.InProgress || !s.writesMixes(now) {
 		return time.Time{}
 	}
-	return later(at, v.Reading.RetryTime(maxRecordRetryDelay))
+	at = later(at, v.Reading.RetryTime(maxRecordRetryDelay))
+	if v.mustReadFirst() {
+		return later(at, v.Reading.NextAt)
+	}
+	return at
+}
+
+// mustReadFirst reports whether the record is to be read before the mixes are written: before the first write, and
+// after each gap, so that nothing that others have recorded is lost.
+func (v *StreamVersions) mustReadFirst() bool {
+	return v.LoadedAt.IsZero() || v.LoadedAt.Before(v.lastGapEnd())
 }
 
 // writesMixes reports whether this router is the one that writes the mixes: the collector of the first failure
@@ -222,8 +232,7 @@
 	return true
 }
 
-// writeVersionRecordIfDue writes the parts of the record that are due. The mixes are read before they are
-// first written, and after each gap, so that nothing that others have recorded is lost.
+// writeVersionRecordIfDue writes the parts of the record that are due, or reads it first.
 func (s *State) writeVersionRecordIfDue(now time.Time) {
 	v := &s.StreamVersions
 	if at := v.ExceptionWrite.nextAt(); !at.IsZero() && !now.Before(at) {
@@ -235,7 +244,7 @@
 	if at.IsZero() || now.Before(at) {
 		return
 	}
-	if v.LoadedAt.IsZero() || v.LoadedAt.Before(v.lastGapEnd()) {
+	if v.mustReadFirst() {
 		s.readVersionRecord(now)
 		return
 	}
