dtdispatch, dtadapter: read the times of the version record by the clock that wrote them

Callers that took a stream up got events of another software version where clocks of hosts differ: the record of the versions of streams holds times of its writer's clock, and a router that has started since compared them with its own.

The record now names its writer and by how much the clocks of the others are ahead of it, measured from their statuses, and is written again when that changes. A router works out by how much its own clock differs from what most of these clocks agree on, and what they don't agree on makes the times of mixes uncertain (VersionMix.Skew), for which the lookup allows; one that has just started waits up to 2 s for the others. In the process the times are steady: they are converted when a record is written or read, so that setting the clock moves none of them against another. Recorded times are no later than now, and exceptions count their age from when they were first heard of.

Statuses of a large fleet name their time each 2 s.

--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -35,6 +35,7 @@
 	isolated     map[string]bool // Routers whose messages, from and to, are lost.
 	sides        map[string]int  // Messages between routers of different sides are lost.
 	dropsRosters bool            // Lists of servers that routers send each other are lost.
+	clocks       clockOffsets
 	onForward    func(name string, n dtdispatch.RequestNumber)
 	onSend       func(name string, send *dtdispatch.SendRequest)
 }
@@ -158,9 +159,11 @@
 	}
 	f.recordWrites++
 	if e.Part == dtdispatch.PartMixes {
-		f.record.Histories, f.record.Timeouts = e.Record.Histories, e.Record.Timeouts
+		exceptions := f.record.Exceptions
+		*f.record = f.clocks.toWall(name, &e.Record)
+		f.record.Exceptions = exceptions
 	} else {
-		f.exceptions[name] = e.Record.Exceptions
+		f.exceptions[name] = f.clocks.toWall(name, &e.Record).Exceptions
 	}
 	f.perform(name, r.step(dtdispatch.VersionRecordWritten{Part: e.Part}))
 }
@@ -182,7 +185,7 @@
 				record.Exceptions[id] = exception
 			}
 		}
-		f.perform(name, r.step(dtdispatch.VersionRecordRead{Record: record}))
+		f.perform(name, r.step(dtdispatch.VersionRecordRead{Record: f.clocks.fromWall(name, &record)}))
 	}
 }
 
@@ -232,7 +235,7 @@
 		f.messagesSent[from]++
 		f.bytesSent[from] += len(encoded)
 		if !f.down[name] && !f.isolated[name] && !f.isolated[from] && f.sides[name] == f.sides[from] {
-			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: e.Message}))
+			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: f.clocks.sent(e.Message, from, name)}))
 		}
 	}
 }
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -46,8 +46,14 @@
 func newRouterInDomain(t *testing.T, name, domain string) *router {
 	t.Helper()
 	now := time.UnixMilli(1_700_000_000_000)
+	return newRouterAt(t, name, domain, now, now.UnixMilli())
+}
+
+// newRouterAt returns a router that starts at now, which is start by its clock.
+func newRouterAt(t *testing.T, name, domain string, now time.Time, start int64) *router {
+	t.Helper()
 	state := dtdispatch.New(dtdispatch.Settings{
-		RouterName: name, Address: name + ":1", OwnAddresses: []string{"10.9.9.9:80"}, Domain: domain, Bounds: bounds, Start: now.UnixMilli(), Regions: map[string]string{"d0": "east", "d1": "east"},
+		RouterName: name, Address: name + ":1", OwnAddresses: []string{"10.9.9.9:80"}, Domain: domain, Bounds: bounds, Start: start, Regions: map[string]string{"d0": "east", "d1": "east"},
 		IsFirstStart: true,
 	}, now)
 	return &router{WithT: NewWithT(t), state: state, now: now}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -42,7 +42,7 @@
 	RosterHash     uint64    `msgpack:"h"`
 	RosterAgeMs    int64     `msgpack:"a"`
 	IsRosterStable bool      `msgpack:"st,omitempty"` // The server list has been up to date for a while.
-	SentAt         time.Time `msgpack:"t,omitempty"`  // By the sender's clock; omitted in a large fleet.
+	SentAt         time.Time `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
 }
 
 // SyncRequest asks a peer for its configuration, its server list or both.
@@ -84,6 +84,7 @@
 	ByName             map[string]Peer
 	NextStatusAt       time.Time
 	StatusSentAt       time.Time
+	ClockSentAt        time.Time     // Time of the last status that named it.
 	ConfigRequestedAt  time.Time     // Time of the last SyncRequest for the configuration.
 	RosterRequestedAt  time.Time     // Time of the last SyncRequest for the server list.
 	RosterSentAt       time.Time     // Time of the last RosterReply to any peer.
@@ -101,12 +102,13 @@
 
 // Peer is the state of one other router.
 type Peer struct {
-	Domain      string
-	Start       int64
-	LastHeardAt time.Time
-	RosterHash  uint64        // Of its list of servers, as of its last status.
-	ClockAhead  time.Duration // By how much its clock is ahead of this router's, less the transit of its last status.
-	LoggedAhead time.Duration // ClockAhead as last logged.
+	Domain       string
+	Start        int64
+	LastHeardAt  time.Time
+	RosterHash   uint64        // Of its list of servers, as of its last status.
+	ClockSamples []ClockSample // Of its clock, those of lately.
+	ClockAhead   time.Duration // By how much its clock is ahead of this router's, less the transit of its last status.
+	LoggedAhead  time.Duration // ClockAhead as last logged.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -151,7 +153,7 @@
 	if status.Start < previous.Start && now.Sub(previous.LastHeardAt) < staleStatusPeriod {
 		return // A delayed status of an earlier incarnation.
 	}
-	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, LoggedAhead: previous.LoggedAhead}
+	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, LoggedAhead: previous.LoggedAhead, ClockSamples: previous.ClockSamples}
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
 	s.Membership.see(status.From, now)
@@ -173,6 +175,8 @@
 		return
 	}
 	peer.ClockAhead = status.SentAt.Sub(now)
+	peer.addClockSample(ClockSample{At: now, Ahead: peer.ClockAhead})
+	s.checkRecordedClock(status.From, peer, now)
 	if (peer.ClockAhead - peer.LoggedAhead).Abs() <= mixSkew {
 		return
 	}
@@ -266,6 +270,9 @@
 	p.lastStatus = status
 	message := status
 	message.PartServers = s.Prompts.Unsent
+	if !s.Membership.IsLarge() || now.Sub(p.ClockSentAt) >= largeFleetClockInterval {
+		message.SentAt, p.ClockSentAt = now, now
+	}
 	s.Prompts.Unsent = nil
 	s.emit(SendToPeers{Message: &message})
 }
@@ -288,7 +295,7 @@
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
 	if !s.Membership.IsLarge() {
-		status.InFlight, status.SentAt = s.inFlight(), now
+		status.InFlight = s.inFlight()
 	}
 	return status
 }
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -39,6 +39,9 @@
 	Ahead          map[string]time.Time // By service: since when the record has mixes that this router has not applied.
 	StoodStillAt   time.Time            // Of the last step before the router stood still; zero once it has heard of the list since.
 	WokeAt         time.Time            // Of the first step after that one.
+	WrittenClock   RecordClock          // Of the mixes that this router has written last.
+	ClockWrittenAt time.Time
+	RecordedClocks map[string]time.Duration // By router: by how much its clock is ahead, by the record.
 
 	checkedAt time.Time // When the list of servers was last current, before the present step.
 	steppedAt time.Time // Time of the last step.
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -20,9 +20,16 @@
 // VersionMix is how new streams of a service are divided among the software versions of its servers.
 type VersionMix struct {
 	At      time.Time      // From when on.
+	Skew    time.Duration  // By how much At may be wrong, as it is by another router's clock.
 	Weights map[string]int // By version, without a common divisor.
 }
 
+// earliest returns the earliest time at which the mix may have come into force.
+func (m *VersionMix) earliest() time.Time { return m.At.Add(-m.Skew) }
+
+// latest returns the latest such time.
+func (m *VersionMix) latest() time.Time { return m.At.Add(m.Skew) }
+
 // newWeights returns the weights of a mix for a number of servers by version.
 func newWeights(servers map[string]int) map[string]int {
 	divisor := 0
@@ -102,13 +109,13 @@
 			return false
 		}
 		end := slices.IndexFunc(recorded.Mixes, func(mix VersionMix) bool {
-			return mix.At.After(gap.From) && !mix.At.After(gap.To.Add(mixSkew)) && maps.Equal(mix.Weights, h.WeightsAt(gap.To))
+			return mix.earliest().After(gap.From) && !mix.latest().After(gap.To.Add(mixSkew)) && maps.Equal(mix.Weights, h.WeightsAt(gap.To))
 		})
 		if end < 0 {
 			return false
 		}
 		for _, mix := range recorded.Mixes[:end+1] {
-			if mix.At.After(gap.From) && mix.At.Before(gap.To) {
+			if mix.latest().After(gap.From) && mix.earliest().Before(gap.To) {
 				h.add(mix)
 			}
 		}
@@ -128,8 +135,8 @@
 	}
 	last := h.Mixes[len(h.Mixes)-1].At
 	for _, mix := range recorded.Mixes {
-		if mix.At.After(last.Add(mixSkew)) {
-			return mix.At
+		if mix.latest().After(last.Add(mixSkew)) {
+			return mix.earliest()
 		}
 	}
 	return time.Time{}
@@ -154,7 +161,7 @@
 // trim forgets the mixes that ended over maxStreamAge ago, and the oldest beyond maxMixes.
 func (h *VersionHistory) trim(now time.Time) {
 	for len(h.Mixes) > 1 && (len(h.Mixes) > maxMixes || now.Sub(h.Mixes[1].At) > maxStreamAge) {
-		h.KnownSince = h.Mixes[1].At
+		h.KnownSince = h.Mixes[1].latest()
 		h.Mixes = h.Mixes[1:]
 	}
 	h.Gaps = slices.DeleteFunc(h.Gaps, func(gap MixGap) bool { return now.Sub(gap.To) > maxStreamAge })
@@ -171,7 +178,7 @@
 		first := h.Mixes[0]
 		last := recorded.Mixes[recorded.indexAt(first.At.Add(mixSkew))]
 		if !maps.Equal(last.Weights, first.Weights) {
-			h.Gaps = append(h.Gaps, MixGap{From: last.At, To: first.At})
+			h.Gaps = append(h.Gaps, MixGap{From: earlier(last.earliest(), first.At), To: first.At})
 		}
 	}
 	isNew := !maps.Equal(recorded.Weights(), current)
@@ -192,12 +199,18 @@
 	if len(h.Mixes) == 0 || from.Before(h.KnownSince) || h.hasGapBetween(from, to) {
 		return "", false
 	}
-	first := h.indexAt(from)
-	version = pickVersion(streamID, h.Mixes[first].Weights)
-	for _, mix := range h.Mixes[first+1:] {
-		if !mix.At.After(to) && pickVersion(streamID, mix.Weights) != version {
+	found := false
+	for i, mix := range h.Mixes {
+		hasBegun := i == 0 || !mix.earliest().After(to)
+		hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
+		if !hasBegun || hasEnded {
+			continue
+		}
+		picked := pickVersion(streamID, mix.Weights)
+		if found && picked != version {
 			return "", false
 		}
+		version, found = picked, true
 	}
-	return version, true
+	return version, found
 }
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -81,6 +81,7 @@
 	Histories  map[string]VersionHistory // By service; of those that have or have had several versions.
 	Timeouts   map[string]TimeoutRange   // By name of the route.
 	Exceptions map[string]StreamException
+	Clock      RecordClock // Of the times in Histories.
 }
 
 func (s *State) readVersionRecord(now time.Time) {
@@ -95,23 +96,51 @@
 func (s *State) handleVersionRecordRead(ev VersionRecordRead, now time.Time) {
 	v := &s.StreamVersions
 	v.Reading.Succeed(v.Reading.StartedAt.Add(minRecordReadGap))
-	isFirst := v.LoadedAt.IsZero()
-	v.LoadedAt = v.Reading.StartedAt
 	v.mergeTimeouts(ev.Record.Timeouts)
-	for id, exception := range ev.Record.Exceptions {
-		if !v.Exceptions[id].IsOwn {
-			v.addException(id, exception, now)
+	v.addRecordedExceptions(ev.Record.Exceptions, now)
+	s.applyHistories(&ev, now)
+	s.releaseHeldResumes(now)
+	s.writeVersionRecordIfDue(now)
+}
+
+// addRecordedExceptions adds the exceptions of a record. Their age counts from when this router has first heard of them.
+func (v *StreamVersions) addRecordedExceptions(recorded map[string]StreamException, now time.Time) {
+	for id, exception := range recorded {
+		known, isKnown := v.Exceptions[id]
+		if known.IsOwn {
+			continue
 		}
+		exception.At = now
+		if isKnown {
+			exception.At = known.At
+		}
+		v.addException(id, exception, now)
 	}
-	switch {
-	case ev.IsMalformed:
-	case isFirst:
-		v.mergeHistories(ev.Record.Histories, now)
-	default:
-		v.compareHistories(ev.Record.Histories)
+}
+
+// applyHistories adds the histories of a record to those of this router if it is the first, and compares them
+// otherwise.
+func (s *State) applyHistories(ev *VersionRecordRead, now time.Time) {
+	v := &s.StreamVersions
+	isFirst := v.LoadedAt.IsZero()
+	ahead, isSettled := s.aheadOfRecord(&ev.Record.Clock, now)
+	if isFirst && !isSettled && len(ev.Record.Histories) > 0 && s.awaitsClocks(&ev.Record.Clock, now) {
+		return
 	}
-	s.releaseHeldResumes(now)
-	s.writeVersionRecordIfDue(now)
+	v.LoadedAt = v.Reading.StartedAt
+	if ev.IsMalformed {
+		return
+	}
+	histories := map[string]VersionHistory{}
+	for service, history := range ev.Record.Histories {
+		histories[service] = history.byOwnClock(ahead, now)
+	}
+	if !isFirst {
+		v.compareHistories(histories)
+		return
+	}
+	v.rememberClocks(&ev.Record.Clock, ahead)
+	v.mergeHistories(histories, now)
 }
 
 // mergeHistories adds the histories of the record. A service without one has had no change.
@@ -248,11 +277,12 @@
 		s.readVersionRecord(now)
 		return
 	}
-	record := v.mixRecord()
+	record := s.mixRecord(now)
 	if len(record.Histories) == 0 {
 		v.MixWrite.DueAt = time.Time{}
 		return
 	}
+	v.WrittenClock, v.ClockWrittenAt = record.Clock, now
 	s.writeVersionRecord(PartMixes, record, now)
 }
 
@@ -264,8 +294,9 @@
 }
 
 // mixRecord returns a copy of the histories of services that have or have had several versions, and of the timeouts.
-func (v *StreamVersions) mixRecord() VersionRecord {
-	record := VersionRecord{Histories: map[string]VersionHistory{}, Timeouts: maps.Clone(v.Timeouts)}
+func (s *State) mixRecord(now time.Time) VersionRecord {
+	v := &s.StreamVersions
+	record := VersionRecord{Histories: map[string]VersionHistory{}, Timeouts: maps.Clone(v.Timeouts), Clock: s.recordClock(now)}
 	for service, history := range v.ByService {
 		if len(history.Mixes) > 1 || len(history.Weights()) > 1 {
 			record.Histories[service] = VersionHistory{KnownSince: history.KnownSince, Mixes: slices.Clone(history.Mixes), Gaps: slices.Clone(history.Gaps)}
