dtdispatch, dtloop: count the suspension of a host in the ages of changes

The steady clock does not count for how long a host was suspended. After a suspension a router took changes of the mix for younger than they are, and one that was made meanwhile for one of now, so that streams that it was asked to go on with were certain to be of another version than they are. The loop went by the wall clock, which may have been set, to notice a suspension, and the reducer did nothing of it for streams.

The loop now asks the kernel by how much its boot clock is ahead of the steady one when the wall clock shows a pause, so that a clock that is set is no longer taken for one, and the router moves the times of its history back by as much and treats the pause as a gap. Tests of dtdispatch, dtloop and dtnode pass; the loop itself was not run on a host that is suspended. Without CLOCK_BOOTTIME, and for less than 2 s, no suspension is noticed.

--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -210,7 +210,10 @@
 type TimerFired struct{}
 
 // Paused reports that the process or its host has stood still, for Gap since the last event.
-type Paused struct{ Gap time.Duration }
+type Paused struct {
+	Gap       time.Duration
+	Uncounted time.Duration // Part of Gap that the steady clock has not counted, as the host was suspended.
+}
 
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -70,6 +70,32 @@
 	v.steppedAt = now
 }
 
+// addSuspension makes what this router knows of the versions of streams as old as it is after a pause that the steady clock has
+// not counted in full.
+func (s *State) addSuspension(ev Paused, now time.Time) {
+	if ev.Uncounted <= 0 {
+		return
+	}
+	v := &s.StreamVersions
+	v.WokeAt = now
+	if since := now.Add(-ev.Gap); v.StoodStillAt.IsZero() || since.Before(v.StoodStillAt) {
+		v.StoodStillAt = since
+	}
+	for _, history := range v.ByService {
+		history.shift(-ev.Uncounted)
+	}
+	for id, exception := range v.Exceptions {
+		exception.At = exception.At.Add(-ev.Uncounted)
+		v.Exceptions[id] = exception
+	}
+	for _, r := range s.Requests {
+		if r.StreamTime.IsZero() {
+			continue
+		}
+		r.StreamTime = r.StreamTime.Add(-ev.Uncounted)
+	}
+}
+
 // endStandstill forgets a standstill once the list has been confirmed by what was sent since: what was sent before
 // is in the router's buffers, and arrives within standstillMargin.
 func (s *State) endStandstill(now time.Time) {
--- a/core/dtdispatch/pause.go
+++ b/core/dtdispatch/pause.go
@@ -24,6 +24,7 @@
 	if s.OperatorKeys.Polling.InProgress {
 		s.emit(RestartWatch{})
 	}
+	s.addSuspension(ev, now)
 	s.ServerListPolling.NextAt, s.OperatorKeys.Polling.NextAt = time.Time{}, time.Time{}
 	s.listServersIfDue(now)
 	s.readOperatorKeysIfDue(now)
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -158,6 +158,22 @@
 
 func (h *VersionHistory) add(mix VersionMix) { h.Mixes = append(h.Mixes, mix) }
 
+// shift moves all times by d.
+func (h *VersionHistory) shift(d time.Duration) {
+	if !h.KnownSince.IsZero() {
+		h.KnownSince = h.KnownSince.Add(d)
+	}
+	if !h.FollowedSince.IsZero() {
+		h.FollowedSince = h.FollowedSince.Add(d)
+	}
+	for i := range h.Mixes {
+		h.Mixes[i].At = h.Mixes[i].At.Add(d)
+	}
+	for i := range h.Gaps {
+		h.Gaps[i] = MixGap{From: h.Gaps[i].From.Add(d), To: h.Gaps[i].To.Add(d)}
+	}
+}
+
 // trim forgets the mixes that ended over maxStreamAge ago, and the oldest beyond maxMixes.
 func (h *VersionHistory) trim(now time.Time) {
 	for len(h.Mixes) > 1 && (len(h.Mixes) > maxMixes || now.Sub(h.Mixes[1].At) > maxStreamAge) {
--- a/dottereltack/dtloop/loop.go
+++ b/dottereltack/dtloop/loop.go
@@ -28,20 +28,22 @@
 	Deadline func(F) (time.Time, bool) // Returns the time of a set-timer effect, or false for other effects.
 	Event    E                         // Event to process at that time.
 	MaxIdle  time.Duration             // Longest time between two events unless the process is paused; zero if there is none.
-	Paused   func(time.Duration) E     // Returns the event to process first after a longer time.
+	// Paused returns the event to process first after a longer time, a part of which the steady clock may not have counted.
+	Paused func(gap, uncounted time.Duration) E
 }
 
 // Loop applies events of type E to a state of type S and performs the resulting effects of
 // type F.
 type Loop[S reducer[E, F], E, F any] struct {
-	state    S
-	binding  TimerBinding[E, F]
-	requests chan E
-	events   chan E
-	calls    chan func(S)
-	done     chan struct{}
-	timer    *time.Timer
-	lastStep time.Time // Wall time of the last step, which counts the suspension of the host.
+	state     S
+	binding   TimerBinding[E, F]
+	requests  chan E
+	events    chan E
+	calls     chan func(S)
+	done      chan struct{}
+	timer     *time.Timer
+	lastStep  time.Time
+	suspended time.Duration // For how long the host had been suspended when that was last asked.
 }
 
 // New returns a loop that queues up to capacity new requests and, separately, up to
@@ -54,6 +56,8 @@
 		calls:    make(chan func(S)),
 		done:     make(chan struct{}),
 		timer:    time.NewTimer(0),
+
+		suspended: hostSuspension(),
 	}
 }
 
@@ -143,16 +147,29 @@
 
 func (l *Loop[S, E, F]) step(ev E, p performer[S, F]) {
 	now := time.Now()
-	wall := now.Round(0)
-	gap := wall.Sub(l.lastStep)
-	isPause := l.binding.MaxIdle > 0 && !l.lastStep.IsZero() && gap > l.binding.MaxIdle
-	l.lastStep = wall
-	if isPause {
-		l.apply(l.binding.Paused(gap), now, p)
+	if gap, uncounted := l.idleTime(now); gap > l.binding.MaxIdle {
+		l.apply(l.binding.Paused(gap, uncounted), now, p)
 	}
+	l.lastStep = now
 	l.apply(ev, now, p)
 }
 
+// idleTime returns the time since the last step, and the part of it in which the host was suspended. Only the wall clock shows a
+// suspension at little cost, but it may have been set.
+func (l *Loop[S, E, F]) idleTime(now time.Time) (gap, uncounted time.Duration) {
+	if l.binding.MaxIdle == 0 || l.lastStep.IsZero() {
+		return 0, 0
+	}
+	gap = now.Sub(l.lastStep)
+	if max(gap, now.Round(0).Sub(l.lastStep.Round(0))) <= l.binding.MaxIdle {
+		return gap, 0
+	}
+	suspended := hostSuspension()
+	uncounted = suspended - l.suspended
+	l.suspended = suspended
+	return gap + uncounted, uncounted
+}
+
 func (l *Loop[S, E, F]) apply(ev E, now time.Time, p performer[S, F]) {
 	for _, e := range l.state.Step(ev, now) {
 		if deadline, ok := l.binding.Deadline(e); ok {
--- a/dottereltack/dtloop/loop_test.go
+++ b/dottereltack/dtloop/loop_test.go
@@ -32,7 +32,7 @@
 	r := &recorder{events: make(chan string, 16)}
 	binding := dtloop.TimerBinding[string, string]{
 		Deadline: func(string) (time.Time, bool) { return time.Time{}, false },
-		Event:    "timer", MaxIdle: 100 * time.Millisecond, Paused: func(time.Duration) string { return "paused" },
+		Event:    "timer", MaxIdle: 100 * time.Millisecond, Paused: func(_, _ time.Duration) string { return "paused" },
 	}
 	loop := dtloop.New(r, binding, 4)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -82,7 +82,10 @@
 	}).With("router", settings.State.RouterName)
 	binding := dtloop.TimerBinding[dtdispatch.Event, dtdispatch.Effect]{
 		Deadline: timerDeadline, Event: dtdispatch.TimerFired{},
-		MaxIdle: maxIdleTime, Paused: func(gap time.Duration) dtdispatch.Event { return dtdispatch.Paused{Gap: gap} },
+		MaxIdle: maxIdleTime,
+		Paused: func(gap, uncounted time.Duration) dtdispatch.Event {
+			return dtdispatch.Paused{Gap: gap, Uncounted: uncounted}
+		},
 	}
 	n.Loop = dtloop.New(dtdispatch.New(settings.State, now), binding, requestQueueCapacity)
 	var err error
