dtdispatch: a server that is back is not taken for the one that was killed

A stream that ends with its connection looked complete to a caller that reads slowly if its server was killed after a whole event and was back at its address before the router read the end: the check whether it is gone found the next process. The same held if the router stood still between the end and the result of the check.

TestResponseOfAServerThatIsBackLooksComplete, cases 'under its ID', 'under another ID' and 'the router has a pause before the check', fail on the code before: CompleteResponse where EndAttempt is expected. Servers that were listed again or have left complete as before.

An entry at the address of the server with another ID or start, which can only have started since the request was sent or its connection opened, shows that its process has ended. A pause counts also if it is noticed with the result of the check. Until the new process is listed, some 0.5 s, the former end is still taken for complete.

--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -4,11 +4,10 @@
 // the server is killed. It is complete unless no process listens at the address of the server any more; one that has
 // too many connections may not accept another in time.
 
-// handleResponseClosed has the server of a response checked that has ended with its connection. After a pause of this
-// router, the server may have been killed and be back.
+// handleResponseClosed has the server of a response checked that has ended with its connection.
 func (s *State) handleResponseClosed(ev ResponseClosed) {
 	r := s.Requests[ev.Number]
-	if r == nil || r.Attempt != ev.Attempt || !s.Resume.ResumedAt.IsZero() {
+	if r == nil || r.Attempt != ev.Attempt || s.mayBeReplaced(r) {
 		s.emit(EndAttempt{Number: ev.Number})
 		return
 	}
@@ -18,11 +17,28 @@
 // endClosedResponse applies the result of that check. If the server is gone, AttemptEnded follows and has its crash
 // recorded.
 func (s *State) endClosedResponse(ev ServerChecked) {
+	r := s.Requests[ev.Number]
 	switch {
-	case s.Requests[ev.Number] == nil:
-	case ev.Refused:
+	case r == nil:
+	case ev.Refused || s.mayBeReplaced(r):
 		s.emit(EndAttempt{Number: ev.Number})
 	default:
 		s.emit(CompleteResponse{Number: ev.Number})
 	}
 }
+
+// mayBeReplaced reports whether another process may listen at the address of the server of the current attempt, as after a
+// pause of this router, or does by the list. The end of a response is read late if its caller reads slowly.
+func (s *State) mayBeReplaced(r *Request) bool {
+	if !s.Resume.ResumedAt.IsZero() {
+		return true
+	}
+	servedAt := later(r.SentAt, r.ConnectedAt)
+	for _, server := range s.Roster.Servers {
+		isOther := server.ID != r.Server || server.Start != r.ServerStart
+		if isOther && server.Address == r.Placement.Server.Address && servedAt.Before(server.earliestStart()) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -41,3 +41,55 @@
 		})
 	}
 }
+
+// TestResponseOfAServerThatIsBackLooksComplete covers the end of a response that is read late, as its caller reads slowly: its
+// server was killed, and another process accepts connections at its address.
+func TestResponseOfAServerThatIsBackLooksComplete(t *testing.T) {
+	completed := dtdispatch.Effect(dtdispatch.CompleteResponse{Number: 1})
+	ended := dtdispatch.Effect(dtdispatch.EndAttempt{Number: 1})
+	for name, tc := range map[string]struct {
+		beforeEnd   func(r *router, list []dtdispatch.Server) // list holds the server of the response only.
+		beforeCheck func(r *router)
+		want        dtdispatch.Effect
+	}{
+		"the same server": {nil, nil, completed},
+		"its entry has been written again": {func(r *router, list []dtdispatch.Server) {
+			list[0].Seq++
+			r.listServers(3, list...)
+		}, nil, completed},
+		"under its ID": {func(r *router, list []dtdispatch.Server) {
+			list[0].Start++
+			r.listServers(3, list...)
+		}, nil, ended},
+		"under another ID": {func(r *router, list []dtdispatch.Server) {
+			list[0].ID = "s9"
+			r.listServers(3, list...)
+		}, nil, ended},
+		"the server has left and still serves": {func(r *router, _ []dtdispatch.Server) { r.listServers(3) }, nil, completed},
+		"the router has a pause before the check": {nil, func(r *router) {
+			r.now = r.now.Add(3 * time.Second)
+			r.step(dtdispatch.Paused{Gap: 3 * time.Second})
+		}, ended},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t, 1)
+			r.sendRequest("/stream/x")
+			send := r.onlySend()
+			r.step(dtdispatch.ResponseStarted{Number: send.Number, Attempt: send.Attempt, ConnectedAt: r.now})
+			r.advance(time.Second)
+			r.listServers(2, testServers(1)...)
+			r.advance(time.Second)
+			if tc.beforeEnd != nil {
+				tc.beforeEnd(r, testServers(1))
+			}
+			effects := r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt})
+			for _, check := range effectsOf[dtdispatch.CheckServer](effects) {
+				if tc.beforeCheck != nil {
+					tc.beforeCheck(r)
+				}
+				effects = r.step(dtdispatch.ServerChecked{Server: check.Server, Number: check.Number, Alive: true})
+			}
+			r.Expect(effects).To(ContainElement(tc.want))
+		})
+	}
+}
