dtdispatch: don't rule out changes before a first record that was never written

A router that began after the first change of the mix, whose writer was killed before it had recorded it, and that saw the next change itself, found an empty record and one version listed, and took its own first mix for the only one ever before.

A router that has seen a change itself knows that an empty record lacks it, and is certain only of what it has seen. TestChangesThatNobodyHasRecordedAreNotRuledOut before: streams are sent on. Tests of dtdispatch pass; the mutation rule_out_changes_that_are_not_recorded is caught.

--- a/core/dtdispatch/clockstep_test.go
+++ b/core/dtdispatch/clockstep_test.go
@@ -196,7 +196,7 @@
 	for seed := range uint64(n) {
 		seeds = append(seeds, seed)
 	}
-	for _, seed := range []uint64{45, 181, 357} {
+	for _, seed := range []uint64{45, 181, 357, 838} {
 		if seed >= uint64(n) {
 			seeds = append(seeds, seed)
 		}
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -937,3 +937,17 @@
 	}
 	r.Expect(reads).To(And(BeNumerically(">", 0), BeNumerically("<=", 41)), "one each 50 ms, 3 s after the start")
 }
+
+// TestChangesThatNobodyHasRecordedAreNotRuledOut guards against streams that go on at another software version, since the router that
+// was to record the first change was killed, and now sees one version again.
+func TestChangesThatNobodyHasRecordedAreNotRuledOut(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v2", "v2")
+	r.advance(time.Second)
+	r.listServers(3, serversOfVersions("v2", "v2", "v2")...)
+	r.advance(time.Second)
+	for n := range 20 {
+		r.sendRequest("/stream/x", resuming(fmt.Sprint("first-", n)), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - 4900*time.Millisecond })
+		effects := slices.Concat(r.effects, r.step(dtdispatch.VersionRecordRead{}))
+		r.Expect(effectsOf[dtdispatch.SendRequest](effects)).To(BeEmpty())
+	}
+}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -187,8 +187,8 @@
 // the first mix of this router may not have been recorded yet.
 func (h *VersionHistory) Merge(recorded *VersionHistory, now time.Time) bool {
 	current := h.Weights()
-	if len(recorded.Mixes) == 0 && len(current) > 1 {
-		return true
+	if len(recorded.Mixes) == 0 && (len(h.Mixes) > 1 || len(current) > 1) {
+		return true // Of a change that has not been recorded, there may have been others.
 	}
 	if len(h.Mixes) > 0 && len(recorded.Mixes) > 0 {
 		first := h.Mixes[0]
