--- a/core/dtdispatch/clockstep_test.go
+++ b/core/dtdispatch/clockstep_test.go
@@ -1,10 +1,9 @@
 package dtdispatch_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -13,6 +12,8 @@
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
+var clockSequencesFlag = flag.Int("clock.sequences", 40, "number of drawn sequences of TestStreamsOfRoutersWhoseClocksDiffer for each difference of clocks")
+
 // clockRun is a drawn sequence of changes and kills at routers whose clocks differ.
 type clockRun struct {
 	*streams
@@ -186,12 +187,9 @@
 	}
 }
 
-// clockSeeds returns the seeds of the sequences: so many as CLOCK_SEQUENCES says or a few, and those that have failed.
+// clockSeeds returns the seeds of the sequences, with those that have failed.
 func clockSeeds() []uint64 {
-	n := 40
-	if sequences, err := strconv.Atoi(os.Getenv("CLOCK_SEQUENCES")); err == nil {
-		n = sequences
-	}
+	n := *clockSequencesFlag
 	var seeds []uint64
 	for seed := range uint64(n) {
 		seeds = append(seeds, seed)
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -107,8 +107,7 @@
 	LastHeardAt  time.Time
 	RosterHash   uint64        // Of its list of servers, as of its last status.
 	ClockSamples []ClockSample // Of its clock, those of lately.
-	ClockAhead   time.Duration // By how much its clock is ahead of this router's, less the transit of its last status.
-	LoggedAhead  time.Duration // ClockAhead as last logged.
+	LoggedAhead  time.Duration // By how much its clock was ahead when that was last logged.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -174,15 +173,15 @@
 	if status.SentAt.IsZero() {
 		return
 	}
-	peer.ClockAhead = status.SentAt.Sub(now)
-	peer.addClockSample(ClockSample{At: now, Ahead: peer.ClockAhead})
+	ahead := status.SentAt.Sub(now)
+	peer.addClockSample(ClockSample{At: now, Ahead: ahead})
 	s.checkRecordedClock(status.From, peer, now)
-	if (peer.ClockAhead - peer.LoggedAhead).Abs() <= mixSkew {
+	if (ahead - peer.LoggedAhead).Abs() <= mixSkew {
 		return
 	}
-	peer.LoggedAhead = peer.ClockAhead
-	s.Peers.MaxClockDifference = max(s.Peers.MaxClockDifference, peer.ClockAhead.Abs())
-	s.emit(LogRecord{Event: "router_clock", Subject: status.From, Elapsed: peer.ClockAhead})
+	peer.LoggedAhead = ahead
+	s.Peers.MaxClockDifference = max(s.Peers.MaxClockDifference, ahead.Abs())
+	s.emit(LogRecord{Event: "router_clock", Subject: status.From, Elapsed: ahead})
 }
 
 func (s *State) updatePeerLoads(status *PeerStatus, now time.Time) {
