--- a/core/dtdispatch/clockstep_test.go
+++ b/core/dtdispatch/clockstep_test.go
@@ -322,3 +322,20 @@
 	r.Expect(r.state.StreamVersions.LoadedAt.IsZero()).To(BeFalse())
 	r.Expect(r.state.StreamVersions.ByService["a"].Mixes[0]).To(And(HaveField("At", at.Add(7*time.Second)), HaveField("Skew", time.Duration(0))))
 }
+
+// TestClocksThatDisagreeMakeChangesUncertain guards against a router that takes the clock of one other router for right, although several
+// have been set since the record was written.
+func TestClocksThatDisagreeMakeChangesUncertain(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v2")
+	read := recordOfTwoVersions()
+	at := r.now.Add(-20 * time.Second)
+	read.Record.Histories["a"].Mixes[0].At = at
+	read.Record.Clock = dtdispatch.RecordClock{Writer: "r2", Ahead: map[string]time.Duration{"r1": 0, "r3": 0}}
+	r.advance(2 * time.Second)
+	for name, ahead := range map[string]time.Duration{"r2": -7 * time.Second, "r3": 3 * time.Second} {
+		r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{From: name, Domain: "d0", Start: 1, SentAt: r.now.Add(ahead)}})
+	}
+	r.sendRequest("/stream/x", resuming("first"))
+	r.step(read)
+	r.Expect(r.state.StreamVersions.ByService["a"].Mixes[0]).To(And(HaveField("At", at.Add(2*time.Second)), HaveField("Skew", 5*time.Second)))
+}
