dtdispatch, dtrelay: sound servers are not charged with responses whose end is uncertain

After a pause of a router, all servers whose responses had ended with their connections meanwhile were avoided for up to 4 s, were told to the other routers as having dropped connections, so that these held streams, and their requests were suspects of a crash. A clock that is set forward by 2 s counts as such a pause.

The relay reported each end that could not be confirmed as a lost connection. Now that is so only if the host of the server refuses connections; otherwise it is unconfirmed, which charges nobody: the caller gets what it got before. A caller that leaves while the end is checked is reported as such, as while a stream is held; before, this depended on which of two goroutines came first.

The expectation of TestResponseOfAServerThatIsGoneLooksComplete for a server that is gone is stricter by the new field. dtrelay and dtnode pass, of dtdispatch the tests of closed, held and silent responses.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -32,9 +32,12 @@
 	Until  time.Time
 }
 
-// EndAttempt has the relay end the attempt at a silent server with OutcomeTimedOut, one whose stream it holds with
-// OutcomeUnconfirmed, or one whose response has ended with its connection with OutcomeConnectionLost.
-type EndAttempt struct{ Number RequestNumber }
+// EndAttempt has the relay end the attempt at a silent server with OutcomeTimedOut, or one whose stream it holds or whose
+// response has ended with its connection with OutcomeUnconfirmed.
+type EndAttempt struct {
+	Number     RequestNumber
+	ServerGone bool // The connection has ended with its server: OutcomeConnectionLost.
+}
 
 // CancelAttempt closes the connection of the current attempt; AttemptEnded follows.
 type CancelAttempt struct{ Number RequestNumber }
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -43,7 +43,7 @@
 	OutcomeUnacknowledged                // The server's host acknowledged no data; the request may have been executed.
 	OutcomeMalformed                     // The response was invalid.
 	OutcomeTimedOut                      // No response within the time limit of the attempt.
-	OutcomeUnconfirmed                   // The reducer ended the attempt while its stream was held.
+	OutcomeUnconfirmed                   // The reducer ended the attempt while its stream was held, or at an end that may not be that of the response.
 	OutcomeExpired                       // The request's deadline passed.
 	OutcomeCallerGone                    // The caller closed its connection.
 )
--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -21,7 +21,7 @@
 	switch {
 	case r == nil:
 	case ev.Refused || s.mayBeReplaced(r):
-		s.emit(EndAttempt{Number: ev.Number})
+		s.emit(EndAttempt{Number: ev.Number, ServerGone: ev.Refused})
 	default:
 		s.emit(CompleteResponse{Number: ev.Number})
 	}
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -19,7 +19,7 @@
 	}{
 		"the server lives":                     {false, dtdispatch.ServerChecked{Alive: true}, dtdispatch.CompleteResponse{Number: 1}},
 		"the server does not accept in time":   {false, dtdispatch.ServerChecked{}, dtdispatch.CompleteResponse{Number: 1}},
-		"the server is gone":                   {false, dtdispatch.ServerChecked{Refused: true}, dtdispatch.EndAttempt{Number: 1}},
+		"the server is gone":                   {false, dtdispatch.ServerChecked{Refused: true}, dtdispatch.EndAttempt{Number: 1, ServerGone: true}},
 		"the router has just had a long pause": {true, dtdispatch.ServerChecked{Alive: true}, dtdispatch.EndAttempt{Number: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -93,3 +93,23 @@
 		})
 	}
 }
+
+// TestSoundServersAreAvoidedAfterAPause guards against sound servers that are avoided after a pause of the router, since
+// responses had ended meanwhile that it can't tell from broken ones.
+func TestSoundServersAreAvoidedAfterAPause(t *testing.T) {
+	r := newRouter(t, 1)
+	for range 8 {
+		r.sendRequest("/once/x")
+	}
+	r.now = r.now.Add(3 * time.Second)
+	r.step(dtdispatch.Paused{Gap: 3 * time.Second})
+	for n := range dtdispatch.RequestNumber(8) {
+		ended := effectsOf[dtdispatch.EndAttempt](r.step(dtdispatch.ResponseClosed{Number: n + 1, Attempt: 1}))
+		r.Expect(ended).To(Equal([]dtdispatch.EndAttempt{{Number: n + 1}}))
+		r.endAttempt(n+1, 1, dtdispatch.OutcomeUnconfirmed)
+		r.Expect(r.onlyRefusal().Status).To(Equal(502))
+	}
+	health := r.state.Health["s0"]
+	r.Expect(health.IsAvoided(r.now)).To(BeFalse())
+	r.Expect(health.LostAt).To(BeZero())
+}
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -44,6 +44,7 @@
 	errNoEvent              = errors.New("stream that goes on has ended without an event")
 	errNoEventIDs           = errors.New("stream without event IDs can't go on at another server")
 	errServerGone           = errors.New("server is gone at the end of a response that ends with its connection")
+	errEndUnconfirmed       = errors.New("server may have been gone at the end of a response that ends with its connection")
 	errUnconfirmedRefusal   = errors.New("refusal status for a request that may have run")
 )
 
@@ -277,8 +278,7 @@
 		a.setTransportOutcome(err)
 		return
 	}
-	if a.resp.StatusCode < http.StatusMultipleChoices && !a.isEndConfirmed() {
-		a.setOutcome(dtdispatch.OutcomeConnectionLost, errServerGone)
+	if a.resp.StatusCode < http.StatusMultipleChoices && !a.confirmEnd() {
 		return
 	}
 	a.reusable = true
@@ -298,20 +298,28 @@
 	a.setOutcome(dtdispatch.OutcomeCompleted, nil)
 }
 
-// isEndConfirmed reports whether the response, all of which has been read, is complete. The reducer decides if it has ended
-// with its connection.
-func (a *attempt) isEndConfirmed() bool {
+// confirmEnd reports whether the response, all of which has been read, is complete, and sets the outcome if it is not. The
+// reducer decides if it has ended with its connection.
+func (a *attempt) confirmEnd() bool {
 	if framingOf(a.resp) != dtdispatch.FramingClose {
 		return true
 	}
 	a.exchange.relay.events.Post(dtdispatch.ResponseClosed{Number: a.send.Number, Attempt: a.send.Attempt})
 	select {
 	case e := <-a.exchange.effects:
-		_, isComplete := e.(dtdispatch.CompleteResponse)
-		return isComplete
+		if _, isComplete := e.(dtdispatch.CompleteResponse); isComplete {
+			return true
+		}
+		if end, isEnd := e.(dtdispatch.EndAttempt); isEnd && end.ServerGone {
+			a.setOutcome(dtdispatch.OutcomeConnectionLost, errServerGone)
+			return false
+		}
+		a.setOutcome(dtdispatch.OutcomeUnconfirmed, errEndUnconfirmed)
 	case <-a.exchange.ctx.Done():
-		return false
+		a.exchange.cancelAttempt()
+		a.setOutcome(dtdispatch.OutcomeCallerGone, nil)
 	}
+	return false
 }
 
 func (a *attempt) releaseConn() {
--- /dev/null
+++ b/dottereltack/dtrelay/closed_test.go
@@ -0,0 +1,48 @@
+package dtrelay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
+)
+
+// discardedEvents is an event queue of which nothing is read.
+type discardedEvents struct{}
+
+func (discardedEvents) Post(dtdispatch.Event)       {}
+func (discardedEvents) Offer(dtdispatch.Event) bool { return true }
+
+// TestSoundServerIsChargedWithALostResponse guards against a server that is avoided and suspected of crashes, since the router
+// could not tell whether a response that ended with its connection was complete, or its caller has left.
+func TestSoundServerIsChargedWithALostResponse(t *testing.T) {
+	disconnected, cancel := context.WithCancel(t.Context())
+	cancel()
+	for name, tc := range map[string]struct {
+		ctx     context.Context //nolint:containedctx // Of the exchange.
+		effect  dtdispatch.Effect
+		outcome dtdispatch.Outcome
+	}{
+		"the server is gone":      {t.Context(), dtdispatch.EndAttempt{ServerGone: true}, dtdispatch.OutcomeConnectionLost},
+		"it may have been gone":   {t.Context(), dtdispatch.EndAttempt{}, dtdispatch.OutcomeUnconfirmed},
+		"its caller has left":     {disconnected, nil, dtdispatch.OutcomeCallerGone},
+		"it has sent a whole one": {t.Context(), dtdispatch.CompleteResponse{}, dtdispatch.OutcomeCompleted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x := &exchange{relay: &Relay{events: discardedEvents{}}, effects: make(chan dtdispatch.Effect, 1), ctx: tc.ctx}
+			a := &attempt{exchange: x, send: &dtdispatch.SendRequest{}, resp: &http.Response{ContentLength: -1}}
+			if tc.effect != nil {
+				x.effects <- tc.effect
+			}
+			isComplete := a.confirmEnd()
+			g.Expect(isComplete).To(Equal(tc.outcome == dtdispatch.OutcomeCompleted))
+			if !isComplete {
+				g.Expect(a.result.Outcome).To(Equal(tc.outcome))
+			}
+		})
+	}
+}
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -202,8 +202,7 @@
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEvent)
 		return
 	}
-	if !a.isEndConfirmed() {
-		a.setOutcome(dtdispatch.OutcomeConnectionLost, errServerGone)
+	if !a.confirmEnd() {
 		return
 	}
 	x := a.exchange
