--- a/core/dtdispatch/clockstep_test.go
+++ b/core/dtdispatch/clockstep_test.go
@@ -121,13 +121,8 @@
 	now := c.now()
 	for _, name := range names {
 		r := newRouterAt(c.t, name, c.routers[name].state.Settings.Domain, now, now.Add(c.clocks[name]).UnixMilli())
-		c.routers[name] = r
+		c.replace(name, r)
 		c.down[name] = false
-		delete(c.readRevision, name)
-		delete(c.operators.readRevision, name)
-		delete(c.waitingUntil, name)
-		delete(c.operators.waitingUntil, name)
-		delete(c.links, name)
 	}
 	c.actions = append(c.actions, fmt.Sprint(names, " killed"))
 }
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -62,6 +62,16 @@
 	return true, unavailable
 }
 
+// replace has a router start anew with nothing in memory.
+func (f *fleet) replace(name string, r *router) {
+	f.routers[name] = r
+	delete(f.readRevision, name)
+	delete(f.operators.readRevision, name)
+	delete(f.waitingUntil, name)
+	delete(f.operators.waitingUntil, name)
+	delete(f.links, name)
+}
+
 // completeOperatorCall completes the pending ReadOperatorKeys call of a router if the keys have
 // changed, the store does not respond to the router or the wait is over.
 func (f *fleet) completeOperatorCall(name string) {
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -198,12 +198,7 @@
 	for _, name := range names {
 		r := newRouterInDomain(t, name, f.routers[name].state.Settings.Domain)
 		r.now = now
-		f.routers[name] = r
-		delete(f.readRevision, name)
-		delete(f.operators.readRevision, name)
-		delete(f.waitingUntil, name)
-		delete(f.operators.waitingUntil, name)
-		delete(f.links, name)
+		f.replace(name, r)
 	}
 	f.run(time.Second, f.names...)
 }
