--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -39,7 +39,6 @@
 	errEventTooLarge        = errors.New("event too large")
 	errNotAnEventStream     = errors.New("response that is to go on with a stream is not an event stream")
 	errNotAnEvent           = errors.New("text that is not an event in a stream")
-	errEventMissing         = errors.New("events missing at the begin of a stream that goes on")
 	errEventOrder           = errors.New("event whose ID is not above those before")
 	errNoEvent              = errors.New("stream that goes on has ended without an event")
 	errNoEventIDs           = errors.New("stream without event IDs can't go on at another server")
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -26,7 +26,6 @@
 	fallback    *bufferedResponse // Error response of a server, forwarded if no further attempt is made.
 	headSent    bool              // The head of the response has been sent.
 	lastEventID string            // ID of the last event sent.
-	eventNumber int               // See eventSplitter.number.
 
 	reservedBytes int64 // Of Relay.bodies, for the bodies of responses; released at the end.
 
--- a/dottereltack/dtrelay/sse.go
+++ b/dottereltack/dtrelay/sse.go
@@ -13,7 +13,6 @@
 	lastID  string // ID of the last complete event.
 	out     []byte // Result of takeComplete.
 	held    []byte // Events without IDs at the begin of a stream that goes on.
-	number  int    // Of the last complete event that the caller lacked, if the ID of each event so far is its number in the stream.
 	goesOn  bool   // An event with an ID has come that the caller does not have.
 }
 
@@ -24,8 +23,8 @@
 
 // takeComplete removes the complete events from the buffer and returns them, valid until the next call. If the
 // stream goes on after the event afterID, it leaves out those with IDs up to that one and holds those without an ID
-// until another one has come. With the events before it, it returns errNotAnEvent for a text that is none,
-// errEventOrder for an event whose ID is not above those before, and errEventMissing if the stream goes on too late.
+// until another one has come. With the events before it, it returns errNotAnEvent for a text that is none, and
+// errEventOrder for an event whose ID is not above those before.
 func (s *eventSplitter) takeComplete(afterID string) ([]byte, error) {
 	s.out = s.out[:0]
 	for {
@@ -37,19 +36,16 @@
 		if !isEvent(event) {
 			return s.out, errNotAnEvent
 		}
-		if err := s.take(event, afterID); err != nil {
-			return s.out, err
+		if !s.take(event, afterID) {
+			return s.out, errEventOrder
 		}
 		s.buffer = s.buffer[n:]
 		s.scanned -= n
 	}
 }
 
-// minNumbered is the number of events from which on IDs count as numbers of events. The protocol only has them increase.
-const minNumbered = 2
-
-// take adds an event to the result unless it is left out or held.
-func (s *eventSplitter) take(event []byte, afterID string) error {
+// take adds an event to the result unless it is left out or held, and returns false if its ID is not above those before.
+func (s *eventSplitter) take(event []byte, afterID string) bool {
 	id := eventID(event)
 	switch {
 	case id == "" && (s.goesOn || afterID == ""):
@@ -57,29 +53,16 @@
 	case id == "":
 		s.held = append(s.held, event...)
 	case s.goesOn && isAtOrBefore(id, s.lastID):
-		return errEventOrder
-	case !s.goesOn && s.number >= minNumbered && !isAtOrBefore(id, afterID) && id != strconv.Itoa(s.number+1):
-		return errEventMissing
+		return false
 	case s.goesOn || !isAtOrBefore(id, afterID):
 		s.goesOn = true
-		s.countEvent(id)
 		s.out = append(append(s.out, s.held...), event...)
 		s.held = nil
 	}
 	if id != "" {
 		s.lastID = id
 	}
-	return nil
-}
-
-// countEvent counts an event that the caller lacks.
-func (s *eventSplitter) countEvent(id string) {
-	const unknown = -1
-	if s.number != unknown && id == strconv.Itoa(s.number+1) {
-		s.number++
-		return
-	}
-	s.number = unknown
+	return true
 }
 
 // isEvent reports whether each line of a block is a field or a comment. Names of fields are in lower case, other than
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -21,7 +21,7 @@
 // forwardStream forwards server-sent events as they arrive. Only complete events are sent,
 // so that another server can resume the stream.
 func (a *attempt) forwardStream() {
-	events := eventSplitter{number: a.exchange.eventNumber}
+	events := eventSplitter{}
 	afterID := a.exchange.lastEventID
 	buffer := make([]byte, streamBufferBytes)
 	progressAt := time.Now()
@@ -31,7 +31,7 @@
 		events.write(buffer[:n])
 		lastID := events.lastID
 		complete, eventErr := events.takeComplete(afterID)
-		writeErr := a.forwardEvents(complete, &events)
+		writeErr := a.forwardEvents(complete, events.lastID)
 		if errors.Is(writeErr, errAttemptEnded) {
 			a.setOutcome(dtdispatch.OutcomeUnconfirmed, writeErr)
 			return
@@ -100,8 +100,8 @@
 
 // forwardEvents sends complete events to the caller, with the response head before the
 // first.
-func (a *attempt) forwardEvents(complete []byte, events *eventSplitter) error {
-	if len(complete) == 0 {
+func (a *attempt) forwardEvents(events []byte, lastID string) error {
+	if len(events) == 0 {
 		return nil
 	}
 	a.postResponseStarted()
@@ -111,11 +111,11 @@
 	}
 	x.startStream(a)
 	if x.head.IsHTTP10 {
-		x.caller.out.Write(complete)
+		x.caller.out.Write(events)
 	} else {
-		x.caller.addChunk(complete)
+		x.caller.addChunk(events)
 	}
-	x.lastEventID, x.eventNumber = events.lastID, events.number
+	x.lastEventID = lastID
 	if err := x.caller.flush(); err != nil {
 		x.cancelAttempt()
 		return errCallerWrite
