dtrelay: a response without a body has ended at its head

Callers of HEAD requests got 502 if the server was gone right after its response: a response without a length counted as one that ends with its connection, though one to HEAD has no body.

TestResponseWithoutABodyIsTakenForUnfinished before: HEAD, 'Expected <dtdispatch.Framing>: 3 to equal 1' (close, length). Responses that can have no body count as marked by their length now.

--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -91,7 +91,7 @@
 		return dtdispatch.FramingNone
 	case len(resp.TransferEncoding) > 0:
 		return dtdispatch.FramingChunks
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody: // As the response to a HEAD request.
 		return dtdispatch.FramingLength
 	}
 	return dtdispatch.FramingClose
--- a/dottereltack/dtrelay/closed_test.go
+++ b/dottereltack/dtrelay/closed_test.go
@@ -1,8 +1,10 @@
 package dtrelay
 
 import (
+	"bufio"
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -46,3 +48,16 @@
 		})
 	}
 }
+
+// TestResponseWithoutABodyIsTakenForUnfinished guards against responses to HEAD requests, which name no length, that are
+// refused once their server is gone.
+func TestResponseWithoutABodyIsTakenForUnfinished(t *testing.T) {
+	for method, framing := range map[string]dtdispatch.Framing{http.MethodHead: dtdispatch.FramingLength, http.MethodGet: dtdispatch.FramingClose} {
+		text := "HTTP/1.1 200 OK\r\nX-Signed: 1\r\n\r\n"
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: method})
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(framingOf(resp)).To(Equal(framing), method)
+		g.Expect(resp.Body.Close()).To(Succeed())
+	}
+}
