dtdispatch: a status that was held up does not confirm a list as of its arrival

Callers got streams of two versions: a router took its list for as fresh as a status said that had been under way for seconds, and a server that had restarted meanwhile for its former incarnation.

TestLateStatusConfirmsAListThatHasChanged before: the stream is not recorded, that is, counts as of the former version for certain.

Statuses name their time: one whose difference of clocks is below that of the others was under way for longer, and what it says is older by as much. Two statuses in a row with the same difference were under way for the same time, so that a clock that is set makes one status late, and no more (TestClockThatIsSetDoesNotMakeStatusesLate). Lists that routers send each other, and statuses of a large fleet that name no time, count from their arrival as before.

--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -108,6 +108,8 @@
 	RosterHash   uint64        // Of its list of servers, as of its last status.
 	ClockSamples []ClockSample // Of its clock, those of lately.
 	LoggedAhead  time.Duration // By how much its clock was ahead when that was last logged.
+	SettledAhead time.Duration // By how much its clock is ahead, less the usual transit of a status.
+	LateBy       time.Duration // By how much longer than usual its last status was under way.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -152,7 +154,7 @@
 	if status.Start < previous.Start && now.Sub(previous.LastHeardAt) < staleStatusPeriod {
 		return // A delayed status of an earlier incarnation.
 	}
-	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, LoggedAhead: previous.LoggedAhead, ClockSamples: previous.ClockSamples}
+	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, LoggedAhead: previous.LoggedAhead, SettledAhead: previous.SettledAhead, ClockSamples: previous.ClockSamples}
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
 	s.Membership.see(status.From, now)
@@ -174,6 +176,7 @@
 		return
 	}
 	ahead := status.SentAt.Sub(now)
+	peer.observeTransit(ahead, now)
 	peer.addClockSample(ClockSample{At: now, Ahead: ahead})
 	s.checkRecordedClock(status.From, peer, now)
 	if (ahead - peer.LoggedAhead).Abs() <= mixSkew {
@@ -196,7 +199,7 @@
 // peer's list if it is newer. It ends the grace period if the peer could reach the store throughout.
 func (s *State) syncWithPeer(status *PeerStatus, now time.Time) {
 	p := &s.Peers
-	listedAt := now.Add(-time.Duration(status.RosterAgeMs) * time.Millisecond)
+	listedAt := now.Add(-time.Duration(status.RosterAgeMs)*time.Millisecond - p.ByName[status.From].LateBy)
 	if status.IsRosterStable && status.RosterRevision.Era() == s.StoreEra {
 		s.Roster.GraceEndsAt = time.Time{} // The store was reachable throughout, so a server missing from the list is gone.
 	}
--- a/core/dtdispatch/recordclock.go
+++ b/core/dtdispatch/recordclock.go
@@ -20,6 +20,8 @@
 	minClockWriteGap = time.Second
 	// clockSampleAge is the age up to which what was measured of a clock is current.
 	clockSampleAge = 4 * time.Second
+	// transitJitter is by how much the transits of statuses usually differ.
+	transitJitter = 50 * time.Millisecond
 	// largeFleetClockInterval is the time between two statuses of a router of a large fleet that name its time.
 	largeFleetClockInterval = 2 * time.Second
 )
@@ -92,6 +94,21 @@
 	p.ClockSamples = append(p.ClockSamples[max(0, len(p.ClockSamples)-n+1):], sample)
 }
 
+// observeTransit applies the difference of the clock that a status shows. Statuses that were held up arrive together, and
+// differ by as much as they were sent apart; two with the same difference were under way for the same time.
+func (p *Peer) observeTransit(ahead time.Duration, now time.Time) {
+	isFirst, isSteady := len(p.ClockSamples) == 0, false
+	if !isFirst {
+		last := p.ClockSamples[len(p.ClockSamples)-1]
+		sentApart := now.Add(ahead).Sub(last.At.Add(last.Ahead))
+		isSteady = (ahead-last.Ahead).Abs() <= transitJitter && sentApart > 2*transitJitter
+	}
+	if isFirst || isSteady || ahead > p.SettledAhead {
+		p.SettledAhead = ahead
+	}
+	p.LateBy = p.SettledAhead - ahead
+}
+
 // currentClock returns by how much the clock of the router is ahead, as measured lately: several values if it has
 // been set or messages were late.
 func (p *Peer) currentClock(now time.Time) (ahead DurationRange, isKnown bool) {
