dtsoak: routers of an earlier landing that are replaced by today's while streams run

No test of ours played two builds.

TestTwoBuildsMixVersions begins a cluster with the program of a commit of the history and replaces it router by router (or all at once, with a third taken back, beside kills and a store that is away, or not at all), beside a release of the servers, resets and callers that leave after five events. Mixed streams are counted by the program that first forwarded an event of the other version: today's by itself is held to two, the total too where the earlier build keeps versions. Nothing of it is judged less strictly than in the plays of a release; the checker's violations are judged as in the soak, and requests of streams name their router for it.

--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,11 @@
 SEED ?= 1
 FUZZ_CHECKS ?= 20000
 SOAK_SEEDS ?= 10
+LANDINGS := 63a836f,0338ea2,1d65baf,e652a81,41c460b,026d409
 
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build run test lint unit measure fuzz soak release streams mutate tools clean
+.PHONY: build run test lint unit measure fuzz soak release upgrade streams mutate tools clean
 
 build:
 	go build -o bin/ ./dottereltack ./dottereltack-stand ./dottereltack-load
@@ -44,6 +45,10 @@
 release:
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsOfARelease -known.red -release.seeds $(SOAK_SEEDS) -release.first $(or $(SOAK_FIRST),$(shell date +%s))
 
+upgrade:
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestTwoBuilds -v -known.red -upgrade.from $(or $(UPGRADE_FROM),$(LANDINGS)) -upgrade.plays $(or $(UPGRADE_PLAYS),all) \
+		-upgrade.seeds $(SOAK_SEEDS) -upgrade.first $(or $(SOAK_FIRST),$(shell date +%s)) -upgrade.for 40s
+
 streams:
 	go test -count=1 -timeout 0 ./platform/dtsoak -run 'TestStreams(OfSlowCallers)?AreWhole' -streams.seeds $(SOAK_SEEDS) -streams.first $(or $(SOAK_FIRST),$(shell date +%s))
 
