dtmesh: skip and report messages that can't be read

Seen: a router whose build encodes a message in another form, such as its lists of servers, lost its link with each such message, without a log line; what it had sent behind it was lost with the link, statuses and news of streams too.

Cause: receiveLoop closed the connection on any decoding error, and said nothing.

Now a body that is one well-formed map with names as its keys is skipped if its message can't be decoded, as the next frame is where the length says. Anything else still closes the connection. Either is posted as PeerMessageUnreadable with the peer (its name once it has sent a message that bears it, its IP address before), the kind, the error and whether the connection was closed; the reducer logs it, at most once a minute for each kind and peer and at most 256 lines a minute. The mesh counts all: dottereltack_unreadable_messages_total{kind}. Kinds that this build does not know are reported, too, and ignored as before.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -147,7 +147,7 @@
 type LogRecord struct {
 	Event         string // Name of what happened, such as "attempt" or "server_left".
 	RequestID     string
-	Subject       string // Server, service, failure domain or store call that the record is about.
+	Subject       string // Server, service, failure domain, router or store call that the record is about.
 	Via           string // Router by way of which the request was sent to the server.
 	Outcome       string
 	Detail        string
@@ -156,7 +156,7 @@
 	Status        int    // HTTP status.
 	Attempt       int
 	Elapsed       time.Duration // Time since the request arrived.
-	Kind          string        // Kind of the route: "once", "repeatable" or "stream".
+	Kind          string        // Kind of the route: "once", "repeatable" or "stream"; or of a message between routers.
 	Route         string
 	Account       string
 	Placement     Placement
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -223,7 +223,18 @@
 }
 
 // PeerMessageReceived delivers a message from another router.
-type PeerMessageReceived struct{ Message PeerMessage }
+type PeerMessageReceived struct {
+	From    string // Name of the sender, or its IP address while it has not named itself.
+	Message PeerMessage
+}
+
+// PeerMessageUnreadable reports a message from another router that could not be decoded.
+type PeerMessageUnreadable struct {
+	From     string // As in PeerMessageReceived.
+	Kind     string
+	Detail   string
+	IsClosed bool // The connection was closed, as the next message could not be told from this one.
+}
 
 // SettingsChanged reports that the settings of this router have been reloaded.
 type SettingsChanged struct {
@@ -264,6 +275,7 @@
 func (VersionRecordFailed) isEvent()       {}
 func (StoreFailed) isEvent()               {}
 func (PeerMessageReceived) isEvent()       {}
+func (PeerMessageUnreadable) isEvent()     {}
 func (SettingsChanged) isEvent()           {}
 func (TimerFired) isEvent()                {}
 func (Paused) isEvent()                    {}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -97,14 +97,15 @@
 	ByName             map[string]Peer
 	NextStatusAt       time.Time
 	StatusSentAt       time.Time
-	ClockSentAt        time.Time     // Time of the last status that named it.
-	ConfigRequestedAt  time.Time     // Time of the last SyncRequest for the configuration.
-	RosterRequestedAt  time.Time     // Time of the last SyncRequest for the server list.
-	RosterSentAt       time.Time     // Time of the last RosterReply to any peer.
-	CrashCursor        NewsCursor    // Crash reports sent.
-	RateCursor         NewsCursor    // Server rates sent.
-	BrittleCursor      NewsCursor    // Brittle servers sent.
-	MaxClockDifference time.Duration // Greatest difference of another router's clock that was logged.
+	ClockSentAt        time.Time               // Time of the last status that named it.
+	ConfigRequestedAt  time.Time               // Time of the last SyncRequest for the configuration.
+	RosterRequestedAt  time.Time               // Time of the last SyncRequest for the server list.
+	RosterSentAt       time.Time               // Time of the last RosterReply to any peer.
+	CrashCursor        NewsCursor              // Crash reports sent.
+	RateCursor         NewsCursor              // Server rates sent.
+	BrittleCursor      NewsCursor              // Brittle servers sent.
+	MaxClockDifference time.Duration           // Greatest difference of another router's clock that was logged.
+	LoggedFaults       map[PeerFault]time.Time // And when they were last logged.
 	lastStatus         PeerStatus
 }
 
--- /dev/null
+++ b/core/dtdispatch/peerformat.go
@@ -0,0 +1,47 @@
+package dtdispatch
+
+import (
+	"maps"
+	"time"
+)
+
+// Routers of several builds serve side by side during an upgrade. What another build says in a form that this one can't read, or
+// leaves out, is not taken for news.
+
+// Limits of the log lines about what peers send and this router can't use.
+const (
+	peerFaultInterval = time.Minute // Between two lines about one kind of message of one peer.
+	maxPeerFaults     = 256         // Lines within it.
+)
+
+// PeerFault is a kind of message of a peer that this router can't use.
+type PeerFault struct{ Peer, Kind string }
+
+// handlePeerEvent applies an event that the links to other routers deliver.
+func (s *State) handlePeerEvent(ev Event, now time.Time) {
+	switch ev := ev.(type) {
+	case PeerMessageReceived:
+		s.handlePeerMessage(ev.Message, now)
+	case PeerMessageUnreadable:
+		outcome := "skipped"
+		if ev.IsClosed {
+			outcome = "closed"
+		}
+		s.logPeerFault(LogRecord{Event: "peer_message_unreadable", Subject: ev.From, Kind: ev.Kind, Outcome: outcome, Detail: ev.Detail}, now)
+	}
+}
+
+// logPeerFault logs that a peer has sent what this router can't use, unless it has logged so of late.
+func (s *State) logPeerFault(record LogRecord, now time.Time) {
+	p := &s.Peers
+	maps.DeleteFunc(p.LoggedFaults, func(_ PeerFault, at time.Time) bool { return now.Sub(at) >= peerFaultInterval })
+	fault := PeerFault{Peer: record.Subject, Kind: record.Kind}
+	if _, isLogged := p.LoggedFaults[fault]; isLogged || len(p.LoggedFaults) >= maxPeerFaults {
+		return
+	}
+	if p.LoggedFaults == nil {
+		p.LoggedFaults = map[PeerFault]time.Time{}
+	}
+	p.LoggedFaults[fault] = now
+	s.emit(record)
+}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -147,8 +147,8 @@
 		s.handleTunnelEvent(ev, now)
 	case ServerChecked:
 		s.handleServerChecked(ev, now)
-	case PeerMessageReceived:
-		s.handlePeerMessage(ev.Message, now)
+	case PeerMessageReceived, PeerMessageUnreadable:
+		s.handlePeerEvent(ev, now)
 	case StopRequested:
 		s.handleStopRequested(now)
 	case Paused:
--- a/dottereltack/dtmesh/mesh.go
+++ b/dottereltack/dtmesh/mesh.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -54,6 +56,7 @@
 	self     string
 	events   eventQueue
 	tunnels  tunnelServer // Nil if the router opens none.
+	meter    meter        // Nil if nothing is counted.
 	listener net.Listener
 	ctx      context.Context //nolint:containedctx // Canceled by Close to stop the goroutines.
 	cancel   context.CancelFunc
@@ -243,27 +246,40 @@
 	}
 }
 
-// receiveLoop posts the messages of a peer as events until its connection fails, a malformed message arrives, or the
-// connection has served as a tunnel.
+// receiveLoop posts the messages of a peer as events until its connection fails, the bounds of its frames are lost, or the
+// connection has served as a tunnel. A message that can't be decoded is reported and skipped.
 func (m *Mesh) receiveLoop(c net.Conn) {
 	r := bufio.NewReaderSize(c, bufferBytes)
+	from := hostOf(c) // Until the peer has named itself.
 	for m.ctx.Err() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 		body, err := dtwire.ReadFrame(r)
+		if errors.Is(err, dtwire.ErrFrameSize) {
+			m.reportUnreadable(dtdispatch.PeerMessageUnreadable{From: from, Kind: unknownKind, Detail: err.Error(), IsClosed: true})
+		}
 		if err != nil {
 			return
 		}
 		e, err := decode(body)
 		if err != nil {
+			kind, isIntact := inspect(body)
+			m.reportUnreadable(dtdispatch.PeerMessageUnreadable{From: from, Kind: kind, Detail: err.Error(), IsClosed: !isIntact})
+			if isIntact {
+				continue
+			}
 			return
 		}
 		if e.TunnelRequest != nil {
 			m.serveTunnel(c, r, e.TunnelRequest)
 			return
 		}
-		if message := e.message(); message != nil {
-			m.events.Post(dtdispatch.PeerMessageReceived{Message: message})
+		message := e.message()
+		if message == nil {
+			m.reportUnreadable(dtdispatch.PeerMessageUnreadable{From: from, Kind: unknownKind, Detail: "no message of a known kind"})
+			continue
 		}
+		from = cmp.Or(senderOf(message), from)
+		m.events.Post(dtdispatch.PeerMessageReceived{From: from, Message: message})
 	}
 }
 
--- a/dottereltack/dtmeter/meter.go
+++ b/dottereltack/dtmeter/meter.go
@@ -29,6 +29,11 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_control_shed_total{kind=%q}`, kind)).Inc()
 }
 
+// CountUnreadableMessage counts a message of another router that could not be read, by kind.
+func (m *Meter) CountUnreadableMessage(kind string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_unreadable_messages_total{kind=%q}`, kind)).Inc()
+}
+
 // CountRequest counts a request by group and outcome.
 func (m *Meter) CountRequest(group, outcome string) {
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_requests_total{group=%q,end=%q}`, group, outcome)).Inc()
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -102,7 +102,7 @@
 	}
 	n.Tunnels = dttunnel.NewServer(n.Loop, n.Meter)
 	n.Meter.Set.NewGauge("dottereltack_tunnels_open", func() float64 { return float64(n.Tunnels.Open()) })
-	n.Mesh, err = dtmesh.New(settings.State.RouterName, settings.PeersAddress, n.Loop, dtmesh.WithTunnels(n.Tunnels))
+	n.Mesh, err = dtmesh.New(settings.State.RouterName, settings.PeersAddress, n.Loop, dtmesh.WithTunnels(n.Tunnels), dtmesh.WithMeter(n.Meter))
 	if err != nil {
 		n.Relay.Close()
 		return nil, err
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -74,8 +74,13 @@
 		n.Meter.CountServerNotice(strings.TrimPrefix(e.Event, "server_"))
 	}
 	write := n.Log.Info
-	if e.Status >= 500 || e.Event == "attempt" || e.Event == "store_lost" || e.Event == "store_restored" || e.Event == "servers_unreachable" || e.Event == "server_list_ignored" {
+	switch e.Event {
+	case "attempt", "store_lost", "store_restored", "servers_unreachable", "server_list_ignored", "peer_message_unreadable":
 		write = n.Log.Warn
+	default:
+		if e.Status >= 500 {
+			write = n.Log.Warn
+		}
 	}
 	write("event", logFields(e)...)
 }
