--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -117,21 +117,22 @@
 
 // Peer is the state of one other router.
 type Peer struct {
-	Domain       string
-	Start        int64
-	LastHeardAt  time.Time
-	RosterHash   uint64        // Of its list of servers, as of its last status.
-	ClockSamples []ClockSample // Of its clock, those of lately.
-	LoggedAhead  time.Duration // By how much its clock was ahead when that was last logged.
-	SettledAhead time.Duration // By how much its clock is ahead, less the usual transit of a status.
-	Unreachable  []string      // Services that it can't connect to, as of its last status.
-	LateBy       time.Duration // By how much longer than usual its last status was under way.
+	Domain            string
+	Start             int64
+	LastHeardAt       time.Time
+	RosterHash        uint64        // Of its list of servers, as of its last status.
+	ClockSamples      []ClockSample // Of its clock, those of lately.
+	LoggedAhead       time.Duration // By how much its clock was ahead when that was last logged.
+	SettledAhead      time.Duration // By how much its clock is ahead, less the usual transit of a status.
+	Unreachable       []string      // Services that it can't connect to, as of its last status.
+	LateBy            time.Duration // By how much longer than usual its last status was under way.
+	ListsLackVersions bool          // This incarnation's lists of servers don't say which software versions these have.
 }
 
 // NextStatusTime returns the time when the next status is due.
 func (p *Peers) NextStatusTime() time.Time { return p.NextStatusAt }
 
-func (s *State) handlePeerMessage(m PeerMessage, now time.Time) {
+func (s *State) handlePeerMessage(from string, m PeerMessage, now time.Time) {
 	switch m := m.(type) {
 	case *PeerStatus:
 		s.observeEra(max(m.RosterRevision, m.OutOfServiceRevision).Era(), now)
@@ -142,15 +143,14 @@
 		s.emit(DecodeConfig{Source: m.Source})
 	case *RosterReply:
 		s.observeEra(m.Revision.Era(), now)
-		if s.StreamVersions.RecordedMixes == nil {
-			s.StreamVersions.RecordedMixes = m.Mixes
+		if !s.lacksVersions(from, m.Servers, now) {
+			s.handleRosterReply(m, now)
 		}
-		listedAt := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-		added, removed := s.Roster.Update(s.validServers(m.Servers), m.Revision, listedAt, now)
-		s.handleRosterChange(added, removed, now)
 	case *RosterDelta:
 		s.observeEra(m.Revision.Era(), now)
-		s.handleRosterDelta(m, now)
+		if !s.lacksVersions(from, m.Changed, now) {
+			s.handleRosterDelta(m, now)
+		}
 	case *VersionNews:
 		s.handleVersionNews(m, now)
 	case *NoticeNews:
@@ -164,6 +164,16 @@
 	}
 }
 
+// handleRosterReply applies the list of servers of a peer.
+func (s *State) handleRosterReply(reply *RosterReply, now time.Time) {
+	if s.StreamVersions.RecordedMixes == nil {
+		s.StreamVersions.RecordedMixes = reply.Mixes
+	}
+	listedAt := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
+	added, removed := s.Roster.Update(s.validServers(reply.Servers), reply.Revision, listedAt, now)
+	s.handleRosterChange(added, removed, now)
+}
+
 // handlePeerStatus merges the status of a peer and requests what the peer has in a newer
 // version.
 func (s *State) handlePeerStatus(status *PeerStatus, now time.Time) {
@@ -176,6 +186,7 @@
 		return // A delayed status of an earlier incarnation.
 	}
 	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, Unreachable: status.Unreachable, LoggedAhead: previous.LoggedAhead, SettledAhead: previous.SettledAhead, ClockSamples: previous.ClockSamples}
+	peer.ListsLackVersions = previous.ListsLackVersions && previous.Start == status.Start
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
 	s.Membership.see(status.From, now)
@@ -229,7 +240,7 @@
 		s.Roster.Confirm(listedAt, status.RosterRevision, now)
 		return
 	}
-	if s.Membership.IsLarge() && !s.mayRequestRoster(status, now) {
+	if p.ByName[status.From].ListsLackVersions || s.Membership.IsLarge() && !s.mayRequestRoster(status, now) {
 		return
 	}
 	if status.RosterRevision > s.Roster.Revision && listedAt.After(s.Roster.ListedAt) && now.Sub(p.RosterRequestedAt) >= syncRetryInterval {
--- a/core/dtdispatch/peerformat.go
+++ b/core/dtdispatch/peerformat.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -21,7 +22,7 @@
 func (s *State) handlePeerEvent(ev Event, now time.Time) {
 	switch ev := ev.(type) {
 	case PeerMessageReceived:
-		s.handlePeerMessage(ev.Message, now)
+		s.handlePeerMessage(ev.From, ev.Message, now)
 	case PeerMessageUnreadable:
 		outcome := "skipped"
 		if ev.IsClosed {
@@ -45,3 +46,21 @@
 	p.LoggedFaults[fault] = now
 	s.emit(record)
 }
+
+// lacksVersions reports whether a list of servers from a peer does not say which software versions they have. A router that took
+// that for servers without a version would go on with streams at servers of another version.
+func (s *State) lacksVersions(from string, list []Server, now time.Time) bool {
+	if !slices.ContainsFunc(list, func(server Server) bool { return server.LacksVersion }) {
+		return false
+	}
+	peer, isKnown := s.Peers.ByName[from]
+	if peer.ListsLackVersions {
+		return true
+	}
+	if isKnown {
+		peer.ListsLackVersions = true
+		s.Peers.ByName[from] = peer
+	}
+	s.logPeerFault(LogRecord{Event: "peer_list_ignored", Subject: from, Kind: "server_list", Detail: "the servers' software versions are missing"}, now)
+	return true
+}
--- a/core/dtdispatch/peerformat_test.go
+++ b/core/dtdispatch/peerformat_test.go
@@ -45,3 +45,46 @@
 	}
 	r.Expect(lines).To(BeNumerically("<", 260))
 }
+
+// TestListWithoutVersionsTakenForServersWithoutVersion guards against streams that go on at servers of another version: the router
+// has the list from one whose build knows no versions.
+func TestListWithoutVersionsTakenForServersWithoutVersion(t *testing.T) {
+	r := newRouter(t, 2)
+	for _, server := range r.state.Roster.Servers {
+		server.Version = "v1"
+	}
+	status := func(start int64) dtdispatch.PeerMessageReceived {
+		return dtdispatch.PeerMessageReceived{From: "r2", Message: &dtdispatch.PeerStatus{From: "r2", Domain: "d0", Start: start, RosterRevision: 9, RosterHash: 77}}
+	}
+	requests := func(start int64) int {
+		r.advance(time.Second)
+		r.step(status(start))
+		n := 0
+		for _, sent := range effectsOf[dtdispatch.SendToPeers](r.effects) {
+			if request, ok := sent.Message.(*dtdispatch.SyncRequest); ok && request.WantsRoster {
+				n++
+			}
+		}
+		return n
+	}
+	r.Expect(requests(5)).To(Equal(1))
+	list := testServers(3)
+	for i := range list {
+		list[i].LacksVersion = true
+	}
+	before := r.state.Roster.Hash
+	lines := 0
+	for _, message := range []dtdispatch.PeerMessage{
+		&dtdispatch.RosterReply{Servers: list, Revision: 9},
+		&dtdispatch.RosterReply{Servers: list, Revision: 9},
+		&dtdispatch.RosterDelta{BaseHash: before, Revision: 9, Changed: list},
+	} {
+		r.step(dtdispatch.PeerMessageReceived{From: "r2", Message: message})
+		lines += len(r.logged("peer_list_ignored"))
+		r.Expect(r.state.Roster.Hash).To(Equal(before))
+		r.Expect(r.state.Roster.Revision).To(BeEquivalentTo(1))
+	}
+	r.Expect(lines).To(Equal(1))
+	r.Expect(requests(5)).To(BeZero(), "its answer could not be used either")
+	r.Expect(requests(6)).To(Equal(1), "another build may have started")
+}
--- a/core/dtdispatch/server.go
+++ b/core/dtdispatch/server.go
@@ -23,6 +23,7 @@
 	Seq           int64         // Sequence number of the entry within the incarnation.
 	ColdFor       time.Duration // Remaining cold period when listed; a cold server has started recently and handles only Service.ColdRate requests per second.
 	Version       string        // Version of the server's software; empty if it names none.
+	LacksVersion  bool          `msgpack:"-"` // Version is unknown: a peer has listed the server whose build knows no versions.
 	ColdUntil     time.Time     `msgpack:"-"` // Derived from ColdFor, which is what peers get, because the clocks of hosts differ.
 	FirstListedAt time.Time     `msgpack:"-"` // Time when this router first listed the server; zero for a server of its first list that was not cold.
 	UnlistedUntil time.Time     `msgpack:"-"` // Time as of which the list was last known not to have this incarnation; zero for servers of the first list.
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -75,7 +75,7 @@
 	}
 	write := n.Log.Info
 	switch e.Event {
-	case "attempt", "store_lost", "store_restored", "servers_unreachable", "server_list_ignored", "peer_message_unreadable":
+	case "attempt", "store_lost", "store_restored", "servers_unreachable", "server_list_ignored", "peer_message_unreadable", "peer_list_ignored":
 		write = n.Log.Warn
 	default:
 		if e.Status >= 500 {
