dtdispatch: send no list of servers to routers whose lists lack versions

What the peer had sent behind the list is lost, and it connects anew 0.5 s later.

Once a router has sent a list without versions, its incarnation gets none: no answer to a request for the list, no changes. It has never been able to read them. The first list, before anything is known of its build, still resets the link once.

Measured: TestListsResetTheLinksToBuildsWithoutVersions fails before ("Expected [r2] to be empty") and passes.

--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -216,9 +216,15 @@
 	})
 }
 
+// sendToDomain sends a message to the routers of this failure domain. Those of builds without versions close the connection at a
+// list with versions, and lose what follows.
 func (s *State) sendToDomain(m PeerMessage, now time.Time) {
+	_, isDelta := m.(*RosterDelta)
 	for _, name := range sortedKeys(s.Peers.ByName) {
 		peer := s.Peers.ByName[name]
+		if isDelta && peer.ListsLackVersions {
+			continue
+		}
 		if peer.Domain == s.Settings.Domain && now.Sub(peer.LastHeardAt) < peerTimeout {
 			s.emit(SendToPeers{To: name, Message: m})
 		}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -268,7 +268,7 @@
 	if request.WantsConfig && s.Config != nil {
 		s.emit(SendToPeers{To: request.From, Message: &ConfigReply{Source: s.Config.Source}})
 	}
-	if request.WantsRoster && len(s.Roster.Servers) > 0 && now.Sub(s.Peers.RosterSentAt) >= s.rosterReplyInterval() {
+	if request.WantsRoster && !s.Peers.ByName[request.From].ListsLackVersions && len(s.Roster.Servers) > 0 && now.Sub(s.Peers.RosterSentAt) >= s.rosterReplyInterval() {
 		s.Peers.RosterSentAt = now
 		list := make([]Server, 0, len(s.Roster.Servers))
 		for _, id := range sortedKeys(s.Roster.Servers) {
--- a/core/dtdispatch/peerformat_test.go
+++ b/core/dtdispatch/peerformat_test.go
@@ -88,3 +88,39 @@
 	r.Expect(requests(5)).To(BeZero(), "its answer could not be used either")
 	r.Expect(requests(6)).To(Equal(1), "another build may have started")
 }
+
+// TestListsResetTheLinksToBuildsWithoutVersions guards against statuses that a router of a build without versions loses: it closes
+// the connection at each list of servers with versions, and asks for one each 0.5 s.
+func TestListsResetTheLinksToBuildsWithoutVersions(t *testing.T) {
+	r := newRouter(t, 2)
+	hear := func(name string, m dtdispatch.PeerMessage) []dtdispatch.SendToPeers {
+		r.step(dtdispatch.PeerMessageReceived{From: name, Message: m})
+		return effectsOf[dtdispatch.SendToPeers](r.effects)
+	}
+	status := func(name string) { hear(name, &dtdispatch.PeerStatus{From: name, Domain: "d0", Start: 5}) }
+	ask := func(name string) []dtdispatch.SendToPeers {
+		r.advance(time.Second)
+		status("r2")
+		status("r3")
+		return hear(name, &dtdispatch.SyncRequest{From: name, WantsRoster: true, WantsConfig: true})
+	}
+	list := func(sent []dtdispatch.SendToPeers) (to []string) {
+		for _, message := range sent {
+			switch message.Message.(type) {
+			case *dtdispatch.RosterReply, *dtdispatch.RosterDelta:
+				to = append(to, message.To)
+			}
+		}
+		return to
+	}
+	status("r2")
+	status("r3")
+	r.Expect(list(ask("r2"))).To(Equal([]string{"r2"}), "nothing is known of its build")
+	hear("r2", &dtdispatch.RosterReply{Servers: []dtdispatch.Server{{ID: "s1", LacksVersion: true}}})
+	sent := ask("r2")
+	r.Expect(list(sent)).To(BeEmpty())
+	r.Expect(sent).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&dtdispatch.ConfigReply{}))), "which it can read")
+	r.Expect(list(ask("r3"))).To(Equal([]string{"r3"}))
+	r.listServers(2, testServers(3)...)
+	r.Expect(list(effectsOf[dtdispatch.SendToPeers](r.effects))).To(Equal([]string{"r3"}))
+}
