dtdispatch: routers say what their builds can do

Nothing in a message or a key in the store told which build had written it, so that logs could not show beside which builds a router served, and nothing could be decided by it. PeerStatus names a set of features (fe, a bit set), the entry fleet/NAME their names. Unknown bits are kept, unknown names ignored. Logged: router_features at the first word of a router and at each change, features in the start line; gauge dottereltack_routers_featureless.

No decision rests on it yet.

--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -29,6 +29,8 @@
 	Address string // Where other routers reach it.
 	Domain  string
 	Cores   float64 // CPU cores available to its process; the routers with most cores become delegates and collectors.
+
+	Features FeatureSet // Those that its entry names.
 }
 
 // Validate returns an InvalidEntryError for the first field that no router can have.
@@ -74,10 +76,14 @@
 	}
 	for _, router := range ev.Routers {
 		m.ListedRouters[router.Name] = router
+		if router.Name != s.Settings.RouterName {
+			s.observeFeatures(router.Name, router.Features, featuresFromStore)
+		}
 		m.see(router.Name, now)
 		delete(m.UnlistedRouters, router.Name)
 	}
 	maps.DeleteFunc(m.LastSeen, func(_ string, at time.Time) bool { return now.Sub(at) >= peerTimeout })
+	s.forgetFeatures()
 	maps.DeleteFunc(m.UnlistedRouters, func(name string, _ Router) bool {
 		return now.Sub(s.Peers.ByName[name].LastHeardAt) > unlistedRouterRetention
 	})
@@ -111,7 +117,7 @@
 // addUnlistedRouter records a router that has sent a status and is not listed yet.
 func (s *State) addUnlistedRouter(status *PeerStatus) {
 	m := &s.Membership
-	router := Router{Name: status.From, Address: status.Address, Domain: status.Domain}
+	router := Router{Name: status.From, Address: status.Address, Domain: status.Domain, Features: status.Features}
 	if _, isListed := m.ListedRouters[status.From]; isListed || status.Address == "" || m.UnlistedRouters[status.From] == router {
 		return
 	}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -40,12 +40,13 @@
 	Rates          []RateReport         `msgpack:"rl,omitempty"` // Request rates that servers have named.
 	Brittle        []BrittleReport      `msgpack:"bs,omitempty"` // Servers that have said that they are brittle.
 	OperatorNews   `msgpack:",inline"`
-	RosterRevision Revision  `msgpack:"r"`
-	RosterHash     uint64    `msgpack:"h"`
-	RosterAgeMs    int64     `msgpack:"a"`
-	IsRosterStable bool      `msgpack:"st,omitempty"` // The server list has been up to date for a while.
-	SentAt         time.Time `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
-	Unreachable    []string  `msgpack:"u,omitempty"`  // Services none of whose servers the sender can connect to.
+	RosterRevision Revision   `msgpack:"r"`
+	RosterHash     uint64     `msgpack:"h"`
+	RosterAgeMs    int64      `msgpack:"a"`
+	IsRosterStable bool       `msgpack:"st,omitempty"` // The server list has been up to date for a while.
+	SentAt         time.Time  `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
+	Unreachable    []string   `msgpack:"u,omitempty"`  // Services none of whose servers the sender can connect to.
+	Features       FeatureSet `msgpack:"fe,omitempty"` // Of the sender; none if its build names none. In a large fleet named each largeFleetFeatureInterval.
 }
 
 // NoticeNews passes on what a server has announced in a response to the sender, which shares a tunnel with the receiver.
@@ -97,14 +98,16 @@
 	ByName             map[string]Peer
 	NextStatusAt       time.Time
 	StatusSentAt       time.Time
-	ClockSentAt        time.Time     // Time of the last status that named it.
-	ConfigRequestedAt  time.Time     // Time of the last SyncRequest for the configuration.
-	RosterRequestedAt  time.Time     // Time of the last SyncRequest for the server list.
-	RosterSentAt       time.Time     // Time of the last RosterReply to any peer.
-	CrashCursor        NewsCursor    // Crash reports sent.
-	RateCursor         NewsCursor    // Server rates sent.
-	BrittleCursor      NewsCursor    // Brittle servers sent.
-	MaxClockDifference time.Duration // Greatest difference of another router's clock that was logged.
+	ClockSentAt        time.Time             // Time of the last status that named it.
+	ConfigRequestedAt  time.Time             // Time of the last SyncRequest for the configuration.
+	RosterRequestedAt  time.Time             // Time of the last SyncRequest for the server list.
+	RosterSentAt       time.Time             // Time of the last RosterReply to any peer.
+	CrashCursor        NewsCursor            // Crash reports sent.
+	RateCursor         NewsCursor            // Server rates sent.
+	BrittleCursor      NewsCursor            // Brittle servers sent.
+	FeaturesSentAt     time.Time             // Time of the last status that named them in a large fleet.
+	MaxClockDifference time.Duration         // Greatest difference of another router's clock that was logged.
+	Features           map[string]FeatureSet // Of other routers, as last logged.
 	lastStatus         PeerStatus
 }
 
@@ -125,6 +128,7 @@
 	SettledAhead time.Duration // By how much its clock is ahead, less the usual transit of a status.
 	Unreachable  []string      // Services that it can't connect to, as of its last status.
 	LateBy       time.Duration // By how much longer than usual its last status was under way.
+	Features     FeatureSet    // As of its last status.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -174,9 +178,13 @@
 	if status.Start < previous.Start && now.Sub(previous.LastHeardAt) < staleStatusPeriod {
 		return // A delayed status of an earlier incarnation.
 	}
-	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, Unreachable: status.Unreachable, LoggedAhead: previous.LoggedAhead, SettledAhead: previous.SettledAhead, ClockSamples: previous.ClockSamples}
+	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, Unreachable: status.Unreachable, Features: status.Features, LoggedAhead: previous.LoggedAhead, SettledAhead: previous.SettledAhead, ClockSamples: previous.ClockSamples}
+	if peer.Features == 0 && s.Membership.IsLarge() && status.Start == previous.Start {
+		peer.Features = previous.Features
+	}
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
+	s.observeFeatures(status.From, peer.Features, featuresFromStatus)
 	s.Membership.see(status.From, now)
 	s.addUnlistedRouter(status)
 	if !s.Membership.IsLarge() {
@@ -298,6 +306,9 @@
 	if !s.Membership.IsLarge() || now.Sub(p.ClockSentAt) >= largeFleetClockInterval {
 		message.SentAt, p.ClockSentAt = now, now
 	}
+	if now.Sub(p.FeaturesSentAt) >= largeFleetFeatureInterval {
+		message.Features, p.FeaturesSentAt = OwnFeatures, now
+	}
 	s.Prompts.Unsent = nil
 	s.emit(SendToPeers{Message: &message})
 }
@@ -326,7 +337,7 @@
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
 	if !s.Membership.IsLarge() {
-		status.InFlight = s.inFlight()
+		status.InFlight, status.Features = s.inFlight(), OwnFeatures
 	}
 	return status
 }
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -124,7 +124,7 @@
 	n.wg.Go(func() { n.Loop.Run(ctx, n) })
 	n.Mesh.Start()
 	n.Relay.Start()
-	n.Log.Info("event", "step", "start", "callers", n.Relay.Address(), "peers", n.Mesh.Address())
+	n.Log.Info("event", "step", "start", "callers", n.Relay.Address(), "peers", n.Mesh.Address(), "features", dtdispatch.OwnFeatures.String())
 }
 
 // Ready reports whether the node accepts new callers.
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -22,6 +22,7 @@
 	storeEra      atomic.Int64
 	budgetRouters atomic.Int64
 	maxClockMs    atomic.Int64
+	featureless   atomic.Int64
 }
 
 func (g *gauges) register(set *metrics.Set) {
@@ -32,6 +33,7 @@
 		"dottereltack_configuration_version": &g.configVersion,
 		"dottereltack_store_era":             &g.storeEra,
 		"dottereltack_budget_routers":        &g.budgetRouters,
+		"dottereltack_routers_featureless":   &g.featureless,
 	} {
 		set.NewGauge(name, func() float64 { return float64(value.Load()) })
 	}
@@ -53,6 +55,7 @@
 	n.gauges.storeEra.Store(int64(s.StoreEra))
 	n.gauges.budgetRouters.Store(int64(s.BudgetRouters))
 	n.gauges.maxClockMs.Store(s.Peers.MaxClockDifference.Milliseconds())
+	n.gauges.featureless.Store(int64(s.Peers.Featureless()))
 	if s.Config != nil {
 		n.gauges.configVersion.Store(s.Config.Version)
 	}
