--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -40,12 +40,13 @@
 	Rates          []RateReport         `msgpack:"rl,omitempty"` // Request rates that servers have named.
 	Brittle        []BrittleReport      `msgpack:"bs,omitempty"` // Servers that have said that they are brittle.
 	OperatorNews   `msgpack:",inline"`
-	RosterRevision Revision  `msgpack:"r"`
-	RosterHash     uint64    `msgpack:"h"`
-	RosterAgeMs    int64     `msgpack:"a"`
-	IsRosterStable bool      `msgpack:"st,omitempty"` // The server list has been up to date for a while.
-	SentAt         time.Time `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
-	Unreachable    []string  `msgpack:"u,omitempty"`  // Services none of whose servers the sender can connect to.
+	RosterRevision Revision   `msgpack:"r"`
+	RosterHash     uint64     `msgpack:"h"`
+	RosterAgeMs    int64      `msgpack:"a"`
+	IsRosterStable bool       `msgpack:"st,omitempty"` // The server list has been up to date for a while.
+	SentAt         time.Time  `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
+	Unreachable    []string   `msgpack:"u,omitempty"`  // Services none of whose servers the sender can connect to.
+	Features       FeatureSet `msgpack:"fe,omitempty"` // Of the sender; none if its build names none. In a large fleet named each largeFleetFeatureInterval.
 }
 
 // NoticeNews passes on what a server has announced in a response to the sender, which shares a tunnel with the receiver.
@@ -106,6 +107,8 @@
 	BrittleCursor      NewsCursor              // Brittle servers sent.
 	MaxClockDifference time.Duration           // Greatest difference of another router's clock that was logged.
 	LoggedFaults       map[PeerFault]time.Time // And when they were last logged.
+	FeaturesSentAt     time.Time               // Time of the last status that named them in a large fleet.
+	Features           map[string]FeatureSet   // Of other routers, as last logged.
 	lastStatus         PeerStatus
 }
 
@@ -127,6 +130,7 @@
 	Unreachable       []string      // Services that it can't connect to, as of its last status.
 	LateBy            time.Duration // By how much longer than usual its last status was under way.
 	ListsLackVersions bool          // This incarnation's lists of servers don't say which software versions these have.
+	Features          FeatureSet    // As of its last status.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -185,10 +189,14 @@
 	if status.Start < previous.Start && now.Sub(previous.LastHeardAt) < staleStatusPeriod {
 		return // A delayed status of an earlier incarnation.
 	}
-	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, Unreachable: status.Unreachable, LoggedAhead: previous.LoggedAhead, SettledAhead: previous.SettledAhead, ClockSamples: previous.ClockSamples}
+	peer := Peer{Domain: status.Domain, Start: status.Start, LastHeardAt: now, RosterHash: status.RosterHash, Unreachable: status.Unreachable, Features: status.Features, LoggedAhead: previous.LoggedAhead, SettledAhead: previous.SettledAhead, ClockSamples: previous.ClockSamples}
 	peer.ListsLackVersions = previous.ListsLackVersions && previous.Start == status.Start
+	if peer.Features == 0 && s.Membership.IsLarge() && status.Start == previous.Start {
+		peer.Features = previous.Features
+	}
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
+	s.observeFeatures(status.From, peer.Features, featuresFromStatus)
 	s.Membership.see(status.From, now)
 	s.addUnlistedRouter(status)
 	if !s.Membership.IsLarge() {
@@ -310,6 +318,9 @@
 	if !s.Membership.IsLarge() || now.Sub(p.ClockSentAt) >= largeFleetClockInterval {
 		message.SentAt, p.ClockSentAt = now, now
 	}
+	if now.Sub(p.FeaturesSentAt) >= largeFleetFeatureInterval {
+		message.Features, p.FeaturesSentAt = OwnFeatures, now
+	}
 	s.Prompts.Unsent = nil
 	s.emit(SendToPeers{Message: &message})
 }
@@ -338,7 +349,7 @@
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
 	if !s.Membership.IsLarge() {
-		status.InFlight = s.inFlight()
+		status.InFlight, status.Features = s.inFlight(), OwnFeatures
 	}
 	return status
 }
