log: tell by what share a router has retried, and retries that no budget counts

It now has the age of the router, the slack in its limit, and the share that it has: whole, first_start, restarted, not_listed or cut_off. Another server that is tried after one that was not reached has a line retry_uncounted, with the router that it went by.

TestRetryLineHidesTheShare fails without it.

--- a/core/dtdispatch/budget.go
+++ b/core/dtdispatch/budget.go
@@ -92,7 +92,8 @@
 // Usage returns what has been counted and what is allowed; the slack is divided among the routers.
 func (r *RetryBudget) Usage(b Bounds, routers int, now time.Time) RetryUsage {
 	u := RetryUsage{Requests: r.Requests.Sum(now), Retries: r.Retries.Sum(now)}
-	u.Limit = retryBudgetShare * (b.RetryRatio*float64(u.Requests) + b.RetrySlack/float64(routers))
+	u.Slack = retryBudgetShare * b.RetrySlack / float64(routers)
+	u.Limit = retryBudgetShare*b.RetryRatio*float64(u.Requests) + u.Slack
 	return u
 }
 
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -164,6 +164,7 @@
 	RosterAge     time.Duration // Age of the server list used for the decision.
 	RouterCount   int           // Number of routers that share the fleet's budgets.
 	Retries       RetryUsage    // Of the service that the record is about.
+	RouterAge     time.Duration // Time since this router started.
 	StreamAge     time.Duration // Time since the stream began, by the time that decides on its version.
 	Progress      Progress      // How far the response had come.
 	Framing       Framing       // Of the response of the server.
@@ -182,6 +183,7 @@
 	Requests int
 	Retries  int
 	Limit    float64 // Highest number of retries.
+	Slack    float64 // Part of Limit that does not depend on the number of requests.
 }
 
 // SetTimer requests a TimerFired event at At, replacing any earlier timer.
--- a/core/dtdispatch/retry.go
+++ b/core/dtdispatch/retry.go
@@ -14,6 +14,9 @@
 		s.giveUp(r, ReasonNoServer, now)
 		return
 	}
+	s.emit(LogRecord{
+		Event: "retry_uncounted", RequestID: r.ID, Subject: r.Service, Outcome: ev.Outcome.String(), Attempt: r.Attempt, Elapsed: now.Sub(r.ArrivedAt), Via: ev.Via,
+	})
 	s.startAttempt(r, ReasonNoServer, now)
 }
 
@@ -59,8 +62,8 @@
 		outcome = ReasonRetryBudget.String()
 	}
 	s.emit(LogRecord{
-		Event: "retry", RequestID: r.ID, Subject: r.Service, Outcome: outcome, Attempt: r.Attempt, Elapsed: now.Sub(r.ArrivedAt),
-		RouterCount: routers, Retries: usage,
+		Event: "retry", RequestID: r.ID, Subject: r.Service, Outcome: outcome, Detail: s.retryShare(now), Attempt: r.Attempt, Elapsed: now.Sub(r.ArrivedAt), Via: r.LastVia,
+		RouterCount: routers, Retries: usage, RouterAge: now.Sub(s.StartedAt),
 	})
 	return isAllowed
 }
--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -259,3 +260,38 @@
 	}
 	f.expectWithinBounds()
 }
+
+// TestRetryLineHidesTheShare guards against a log that does not tell by what share a router has retried.
+func TestRetryLineHidesTheShare(t *testing.T) {
+	f := newRetryFleet(t, 3)
+	retryLine := func(name string, outcome dtdispatch.Outcome) dtdispatch.LogRecord {
+		r := f.routers[name]
+		n := r.sendRequest("/read/x")
+		r.endAttempt(n, 1, outcome, func(ev *dtdispatch.AttemptEnded) { ev.Status = 500 })
+		for _, line := range effectsOf[dtdispatch.LogRecord](r.effects) {
+			if strings.HasPrefix(line.Event, "retry") {
+				return line
+			}
+		}
+		return dtdispatch.LogRecord{}
+	}
+	g := NewWithT(t)
+	line := retryLine("r0", dtdispatch.OutcomeFailure)
+	g.Expect(line.Detail).To(Equal("first_start"))
+	g.Expect(line.Retries.Slack).To(BeNumerically("~", 14))
+	g.Expect(line.RouterAge).To(Equal(5 * time.Second))
+	f.restart("r0")
+	g.Expect(retryLine("r0", dtdispatch.OutcomeFailure).Detail).To(Equal("restarted"))
+	line = retryLine("r0", dtdispatch.OutcomeUnreachable)
+	g.Expect(line.Event).To(Equal("retry_uncounted"))
+	g.Expect(line.Outcome).To(Equal("unreachable"))
+	f.run(11*time.Second, f.names...)
+	line = retryLine("r0", dtdispatch.OutcomeFailure)
+	g.Expect(line.Detail).To(Equal("not_listed"))
+	g.Expect(line.Retries.Slack).To(BeZero())
+	f.run(10*time.Second, f.names...)
+	g.Expect(retryLine("r0", dtdispatch.OutcomeFailure).Detail).To(Equal("whole"))
+	f.store, f.sides = nil, map[string]int{"r0": 1}
+	f.run(time.Minute, f.names...)
+	g.Expect(retryLine("r0", dtdispatch.OutcomeFailure).Detail).To(Equal("cut_off"))
+}
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -354,6 +354,23 @@
 	return b
 }
 
+// retryShare returns what part of the share of a router retryBounds leaves, for the log.
+func (s *State) retryShare(now time.Time) string {
+	age, forgetting := now.Sub(s.StartedAt), coveringLength(s.Settings.Bounds.RetryWindow)
+	hasRestarted := !s.Settings.IsFirstStart
+	switch {
+	case hasRestarted && age < forgetting:
+		return "restarted"
+	case hasRestarted && age < forgetting+s.Membership.steadyListInterval():
+		return "not_listed"
+	case s.isCutOff(now):
+		return "cut_off"
+	case !hasRestarted && age < forgetting:
+		return "first_start"
+	}
+	return "whole"
+}
+
 func (s *State) retryBudget(service string) *RetryBudget {
 	return getOrCreate(s.RetryBudgets, service, func() *RetryBudget { return NewRetryBudget(s.Settings.Bounds) })
 }
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -109,9 +109,7 @@
 	add("site", e.ConfigVersion, e.ConfigVersion != 0)
 	add("list_age_ms", e.RosterAge.Milliseconds(), e.RosterAge != 0)
 	add("routers", e.RouterCount, e.RouterCount != 0)
-	add("window_requests", e.Retries.Requests, e.Retries.Limit != 0)
-	add("window_retries", e.Retries.Retries, e.Retries.Limit != 0)
-	add("retry_limit", e.Retries.Limit, e.Retries.Limit != 0)
+	addRetryUsage(e, add)
 	add("stream_age_ms", e.StreamAge.Milliseconds(), e.StreamAge != 0)
 	add("version", e.Version, e.Version != "")
 	add("rank", e.Placement.Rank, e.Placement.Server != nil)
@@ -132,6 +130,16 @@
 	return fields
 }
 
+// addRetryUsage adds the fields of a retry budget.
+func addRetryUsage(e *dtdispatch.LogRecord, add func(key string, value any, include bool)) {
+	isSet := e.RouterAge != 0
+	add("window_requests", e.Retries.Requests, isSet)
+	add("window_retries", e.Retries.Retries, isSet)
+	add("retry_limit", e.Retries.Limit, isSet)
+	add("retry_slack", e.Retries.Slack, isSet)
+	add("router_age_ms", e.RouterAge.Milliseconds(), isSet)
+}
+
 // addAnnouncement adds the fields of what servers state about themselves.
 func addAnnouncement(e *dtdispatch.LogRecord, add func(key string, value any, include bool)) {
 	add("rate_limit", cmp.Or(e.RateLimit.PerSecond, e.Placement.RateLimit.PerSecond), e.RateLimit.IsSet || e.Placement.RateLimit.IsSet || e.Event == "server_limit")
