--- a/dottereltack/dtmesh/formats_test.go
+++ b/dottereltack/dtmesh/formats_test.go
@@ -184,3 +184,55 @@
 		g.Expect(got.RosterReply.Servers).To(ConsistOf(server))
 	}
 }
+
+// keeps reports whether a value that this build sends still has all that an earlier one sent: maps may have further keys, arrays and
+// all else are the same.
+func keeps(now, earlier any) bool {
+	switch earlier := earlier.(type) {
+	case map[any]any:
+		now, ok := now.(map[any]any)
+		for key, value := range earlier {
+			if !ok || !keeps(now[key], value) {
+				return false
+			}
+		}
+		return ok
+	case []any:
+		now, ok := now.([]any)
+		return ok && slices.EqualFunc(now, earlier, keeps)
+	}
+	return reflect.DeepEqual(now, earlier)
+}
+
+// TestChangedFormatOfTheLastLanding guards against messages that the build which is to be replaced can't read, or takes for
+// something else. See "Changes of a format" in PROTOCOL.md.
+func TestChangedFormatOfTheLastLanding(t *testing.T) {
+	g := NewWithT(t)
+	last := landings[len(landings)-1]
+	samples := sampleEnvelopes()
+	for key, body := range readSamples(t, last) {
+		g.Expect(samples).To(HaveKey(key), "%s sends it", last)
+		now, err := msgpack.Marshal(samples[key])
+		g.Expect(err).NotTo(HaveOccurred())
+		if !keeps(decodeUntyped(t, now), decodeUntyped(t, body)) {
+			t.Errorf("message %s: %s sends\n%x\nand this build\n%x", key, last, body, now)
+		}
+	}
+}
+
+// TestLongerArraysNoticed checks keeps, by which TestChangedFormatOfTheLastLanding finds changed formats.
+func TestLongerArraysNoticed(t *testing.T) {
+	g := NewWithT(t)
+	earlier := map[any]any{"s": []any{[]any{"s1", int8(4)}}, "r": int8(1)}
+	g.Expect(keeps(map[any]any{"s": []any{[]any{"s1", int8(4)}}, "r": int8(1), "new": true}, earlier)).To(BeTrue())
+	for name, now := range map[string]any{
+		"longer array":  map[any]any{"s": []any{[]any{"s1", int8(4), true}}, "r": int8(1)},
+		"shorter array": map[any]any{"s": []any{[]any{"s1"}}, "r": int8(1)},
+		"missing key":   map[any]any{"s": []any{[]any{"s1", int8(4)}}},
+		"other meaning": map[any]any{"s": []any{[]any{"s1", int8(5)}}, "r": int8(1)},
+		"other type":    map[any]any{"s": []any{[]any{"s1", "4"}}, "r": int8(1)},
+		"no map":        []any{},
+	} {
+		g.Expect(keeps(now, earlier)).To(BeFalse(), name)
+	}
+}
