--- a/core/dtwire/message.go
+++ b/core/dtwire/message.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -103,6 +104,15 @@
 	return 0
 }
 
+// String returns the name of the type of the kind's messages, or "unknown".
+func (k Kind) String() string {
+	m := k.newMessage()
+	if m == nil {
+		return "unknown"
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%T", m), "*dtstate.")
+}
+
 // newMessage returns an empty message of the kind, or nil if the kind is unknown.
 func (k Kind) newMessage() dtstate.Message {
 	constructors := [...]func() dtstate.Message{
--- a/dottereltack/dtlink/transport.go
+++ b/dottereltack/dtlink/transport.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -39,18 +40,21 @@
 	Observe(t uint64, wall time.Time)
 }
 
-// meter counts the bytes sent and received, and the messages shed, by message kind.
+// meter counts the bytes sent and received, and the messages shed or not read, by message kind.
 type meter interface {
 	CountControlMessage(kind, direction string, bytes int)
 	CountShedMessage(kind string)
+	CountUnreadableMessage(kind string)
 }
 
 // Handler receives messages and failures; its methods must not block for long.
 type Handler interface {
 	HandleMessage(from dtstate.RouterID, m dtstate.Message)
 	// HandleFailure gets the peer if the outbound link to it failed, and an empty peer for
-	// errors of inbound handshakes, encoding and decoding.
+	// errors of inbound handshakes, framing and encoding.
 	HandleFailure(peer dtstate.RouterID, err error)
+	// HandleUnreadable gets the first message of a kind on a connection that can't be decoded, and is skipped.
+	HandleUnreadable(from dtstate.RouterID, err error)
 }
 
 // Settings configures a Transport.
@@ -158,29 +162,38 @@
 		t.handler.HandleFailure("", merry.Wrap(err, merry.WithValue("step", "handshake"), merry.WithValue("peer", c.RemoteAddr().String())))
 		return
 	}
+	reported := map[byte]bool{}
 	for {
 		_ = c.SetDeadline(time.Now().Add(readTimeout))
-		if err := t.readMessage(r, peer); err != nil {
+		if err := t.readMessage(r, peer, reported); err != nil {
 			return
 		}
 	}
 }
 
-// readMessage reads one frame, a timestamp and a message, and passes the message to the
-// handler.
-func (t *Transport) readMessage(r *bufio.Reader, peer dtstate.RouterID) error {
+// readMessage reads one frame, a timestamp and a message, and passes the message to the handler. One that can't be decoded, as a
+// router of another build may send it, is skipped; reported holds the kinds of those that the handler has been told of.
+func (t *Transport) readMessage(r *bufio.Reader, peer dtstate.RouterID, reported map[byte]bool) error {
 	body, err := dtwire.ReadFrame(r)
+	if err == nil && len(body) <= timestampBytes {
+		err = dtwire.ErrFrameSize
+	}
+	if errors.Is(err, dtwire.ErrFrameSize) {
+		t.handler.HandleFailure("", merry.Wrap(err, merry.WithValue("step", "read"), merry.WithValue("peer", string(peer))))
+	}
 	if err != nil {
 		return err
 	}
-	if len(body) <= timestampBytes {
-		return dtwire.ErrFrameSize
-	}
 	t.clock.Observe(binary.BigEndian.Uint64(body), time.Now())
 	m, err := dtwire.Decode(body[timestampBytes:])
 	if err != nil {
-		t.handler.HandleFailure("", merry.Wrap(err, merry.WithValue("step", "decode"), merry.WithValue("peer", string(peer))))
-		return err
+		kind := body[timestampBytes]
+		t.meter.CountUnreadableMessage(dtwire.Kind(kind).String())
+		if !reported[kind] {
+			reported[kind] = true
+			t.handler.HandleUnreadable(peer, merry.Wrap(err, merry.WithValue("step", "decode"), merry.WithValue("kind", kind)))
+		}
+		return nil
 	}
 	t.meter.CountControlMessage(dtwire.TrafficClass(m), "in", len(body))
 	t.handler.HandleMessage(peer, m)
--- a/dottereltack/dtrouter/router.go
+++ b/dottereltack/dtrouter/router.go
@@ -147,6 +147,11 @@
 	}
 }
 
+// HandleUnreadable implements dtlink.Handler.
+func (r *Router) HandleUnreadable(from dtstate.RouterID, err error) {
+	r.RecordFailure("peer_message_unreadable", string(from), "", err)
+}
+
 // RecordFailure records a failure outside the reducer in the timeline and the log.
 func (r *Router) RecordFailure(step, peer string, id dtstate.RequestID, err error) {
 	detail := ""
