dtdispatch: take a record without a writer for one of an unknown clock

A record without a writer was taken for one by this router's own clock: the missing field meant "no difference", and a router that started beside such a build was certain of versions by times that may be off by any amount, so that a caller could get two versions in a stream.

--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -142,7 +142,11 @@
 		v.compareHistories(histories)
 		return
 	}
-	s.logRecordedMixes(histories, now)
+	logged := histories
+	if ev.Record.Clock.Writer == "" {
+		logged = ev.Record.Histories // By whatever clock.
+	}
+	s.logRecordedMixes(logged, now)
 	if ev.Record.hasTimes() {
 		v.rememberClocks(&ev.Record.Clock, ahead)
 	}
