dtdispatch: ask routers for tunnels first that say they have them

Now routers that announce tunnels (FeatureTunnels) are asked first, those that announce other features only are not asked, and those that announce nothing come last: has tunnels and announces nothing, have none, and statuses don't tell them apart.

--- a/core/dtdispatch/tunnel.go
+++ b/core/dtdispatch/tunnel.go
@@ -121,10 +121,13 @@
 	return via
 }
 
-// viaTier returns the order in which routers are asked. In a large fleet most are not heard from, so that those go first
-// that have opened a tunnel lately.
+// viaTier returns the order in which routers are asked. Those that name no features may be of a build that leaves the request
+// unanswered, and come last. In a large fleet most are not heard from, so that those go first that have opened a tunnel lately.
 func (s *State) viaTier(router Router, now time.Time) int {
 	tier := 0
+	if !s.Peers.Features[router.Name].Has(FeatureTunnels) {
+		tier += 4
+	}
 	if used := s.Tunnels.Routers[router.Name].UsedAt; s.Membership.IsLarge() && (used.IsZero() || now.Sub(used) > tunnelSharedPeriod) {
 		tier += 2
 	}
@@ -153,6 +156,9 @@
 	if router.Name == s.Settings.RouterName || router.Address == "" || now.Before(s.Tunnels.Routers[router.Name].AvoidUntil) {
 		return false
 	}
+	if features := s.Peers.Features[router.Name]; features != 0 && !features.Has(FeatureTunnels) {
+		return false
+	}
 	if peer := s.Peers.ByName[router.Name]; now.Sub(peer.LastHeardAt) < maxViaSilence {
 		return !slices.Contains(peer.Unreachable, service)
 	}
--- a/core/dtdispatch/tunnel_test.go
+++ b/core/dtdispatch/tunnel_test.go
@@ -458,3 +458,23 @@
 	}
 	NewWithT(t).Expect(most).To(BeNumerically("<=", 16*12/4), "tunnels are shared among those that can help")
 }
+
+// TestRoutersWithoutTunnelsAreAskedFirst guards against requests that wait for the reply of a router whose build knows no tunnels,
+// which leaves them unanswered, while others would open one.
+func TestRoutersWithoutTunnelsAreAskedFirst(t *testing.T) {
+	n, r := newCutOff(t, 8, "r1", "r2", "r3", "r4", "r5", "r6")
+	withoutTunnels := dtdispatch.FeatureStreamVersions
+	for name, features := range map[string]dtdispatch.FeatureSet{"r2": 0, "r3": withoutTunnels, "r4": 0, "r5": dtdispatch.OwnFeatures, "r6": withoutTunnels | 1<<40} {
+		r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{
+			From: name, Address: name + ":1", Domain: r.state.Peers.ByName[name].Domain, Start: r.state.Peers.ByName[name].Start, Features: features, SentAt: r.now,
+		}})
+	}
+	for range 20 {
+		r.sendRequest("/read/x")
+		via := routersOf(r.onlySend().Via)
+		r.Expect(via).To(HaveLen(3))
+		r.Expect(via[0]).To(Equal("r5"))
+		r.Expect(via[1:]).To(ConsistOf("r2", "r4"), "they may be of a build that has tunnels and names no features")
+	}
+	n.reset()
+}
