--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -105,10 +105,10 @@
 	CrashCursor        NewsCursor              // Crash reports sent.
 	RateCursor         NewsCursor              // Server rates sent.
 	BrittleCursor      NewsCursor              // Brittle servers sent.
-	MaxClockDifference time.Duration           // Greatest difference of another router's clock that was logged.
-	LoggedFaults       map[PeerFault]time.Time // And when they were last logged.
 	FeaturesSentAt     time.Time               // Time of the last status that named them in a large fleet.
+	MaxClockDifference time.Duration           // Greatest difference of another router's clock that was logged.
 	Features           map[string]FeatureSet   // Of other routers, as last logged.
+	LoggedFaults       map[PeerFault]time.Time // And when they were last logged.
 	lastStatus         PeerStatus
 }
 
@@ -129,8 +129,8 @@
 	SettledAhead      time.Duration // By how much its clock is ahead, less the usual transit of a status.
 	Unreachable       []string      // Services that it can't connect to, as of its last status.
 	LateBy            time.Duration // By how much longer than usual its last status was under way.
-	ListsLackVersions bool          // This incarnation's lists of servers don't say which software versions these have.
 	Features          FeatureSet    // As of its last status.
+	ListsLackVersions bool          // This incarnation's lists of servers don't say which software versions these have.
 }
 
 // NextStatusTime returns the time when the next status is due.
