dtdispatch: rely on the hash of a stream only where all routers record versions

Cause: the version of a stream follows from its ID since every router begins it there; a router that knows no versions begins streams anywhere and lists none, and others were certain all the same.

A router now takes another one that shows no sign of recording versions for one that does not. Streams that may have begun at it are certain only if they are listed, or if one version only was listed; routers of this build list all of theirs meanwhile where two versions serve. Until when stands in the store under a key that earlier builds ignore (streams/unrecorded). A router that finds no record at all, not at the first start of its fleet, knows nothing of what was before.

Reducer tests, without the lookup's new condition: all 5 cases of TestStreamsBegunAtARouterThatRecordsNoVersionsAreMixed, TestEarlierBuildStartsBesideThisOne and TestReleaseBeforeTheFirstRecordIsUnknown fail at the first streams taken up; now 40 of 40 streams of this build go on, and none of the 40 others at another version. TestBuildsThatRecordVersionsStayCertain: 60 of 60 go on beside builds without features, as before, none listed. Real processes: not run in this commit.

Harness: messages, record writes and entries of routers of earlier builds are played; takeUp takes names.

--- a/core/dtdispatch/clockharness_test.go
+++ b/core/dtdispatch/clockharness_test.go
@@ -43,6 +43,11 @@
 		exception.At = exception.At.Add(by)
 		shifted.Exceptions[id] = exception
 	}
+	for _, at := range []*time.Time{&shifted.Unrecorded.Until, &shifted.Unrecorded.UnknownBefore} {
+		if !at.IsZero() {
+			*at = at.Add(by)
+		}
+	}
 	return shifted
 }
 
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -37,6 +37,7 @@
 	sides        map[string]int  // Messages between routers of different sides are lost.
 	dropsRosters bool            // Lists of servers that routers send each other are lost.
 	clocks       clockOffsets
+	builds       map[string]build // Of routers that run an earlier build.
 	onForward    func(name string, n dtdispatch.RequestNumber)
 	onSend       func(name string, send *dtdispatch.SendRequest)
 	onEffect     func(name string, e dtdispatch.Effect) // Called with each effect before it is carried out.
@@ -165,6 +166,10 @@
 // writeRecord carries out a WriteVersionRecord effect.
 func (f *fleet) writeRecord(name string, e *dtdispatch.WriteVersionRecord) {
 	r := f.routers[name]
+	if !f.builds[name].writes(e.Part) {
+		f.perform(name, r.step(dtdispatch.VersionRecordWritten{Part: e.Part}))
+		return
+	}
 	if f.store == nil || f.rejected[name] || f.isReadOnly {
 		f.perform(name, r.step(dtdispatch.VersionRecordFailed{IsWrite: true, Part: e.Part, Detail: "down"}))
 		return
@@ -173,12 +178,15 @@
 		f.record = &dtdispatch.VersionRecord{}
 	}
 	f.recordWrites++
-	if e.Part == dtdispatch.PartMixes {
-		exceptions := f.record.Exceptions
-		*f.record = f.clocks.toWall(name, &e.Record)
-		f.record.Exceptions = exceptions
-	} else {
-		f.exceptions[name] = f.clocks.toWall(name, &e.Record).Exceptions
+	written := f.clocks.toWall(name, &e.Record)
+	switch e.Part {
+	case dtdispatch.PartMixes:
+		written.Exceptions, written.Unrecorded = f.record.Exceptions, f.record.Unrecorded
+		*f.record = written
+	case dtdispatch.PartUnrecorded:
+		f.record.Unrecorded = written.Unrecorded
+	default:
+		f.exceptions[name] = written.Exceptions
 	}
 	f.perform(name, r.step(dtdispatch.VersionRecordWritten{Part: e.Part}))
 }
@@ -227,7 +235,7 @@
 	ev := dtdispatch.RoutersListed{}
 	for name, r := range f.routers {
 		if !f.down[name] && !f.unlisted[name] {
-			ev.Routers = append(ev.Routers, dtdispatch.Router{Name: name, Address: name + ":1", Domain: r.state.Settings.Domain, Cores: f.cores[name]})
+			ev.Routers = append(ev.Routers, dtdispatch.Router{Name: name, Address: name + ":1", Domain: r.state.Settings.Domain, Cores: f.cores[name], Features: f.builds[name].features()})
 		}
 	}
 	return ev
@@ -237,6 +245,7 @@
 func (f *fleet) sendMessage(from string, e *dtdispatch.SendToPeers) {
 	encoded, err := msgpack.Marshal(e.Message)
 	f.routers[from].Expect(err).NotTo(HaveOccurred())
+	message := f.builds[from].sent(e.Message)
 	switch e.Message.(type) {
 	case *dtdispatch.RosterReply, *dtdispatch.RosterDelta:
 		if f.dropsRosters {
@@ -249,8 +258,11 @@
 		}
 		f.messagesSent[from]++
 		f.bytesSent[from] += len(encoded)
+		if f.builds[from] == noVersions && message == nil || f.builds[name] == noVersions && noVersions.sent(message) == nil {
+			continue
+		}
 		if !f.down[name] && !f.isolated[name] && !f.isolated[from] && f.sides[name] == f.sides[from] {
-			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: f.clocks.sent(e.Message, from, name)}))
+			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: f.clocks.sent(message, from, name)}))
 		}
 	}
 }
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -129,6 +129,9 @@
 	Unreachable  []string      // Services that it can't connect to, as of its last status.
 	LateBy       time.Duration // By how much longer than usual its last status was under way.
 	Features     FeatureSet    // As of its last status.
+	ServesSince  time.Time     // When it was first heard to list servers, by this incarnation of it.
+
+	KeepsVersions bool // It records the versions at which streams begin.
 }
 
 // NextStatusTime returns the time when the next status is due.
@@ -182,6 +185,7 @@
 	if peer.Features == 0 && s.Membership.IsLarge() && status.Start == previous.Start {
 		peer.Features = previous.Features
 	}
+	s.observeRecorder(&peer, &previous, status, now)
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
 	s.observeFeatures(status.From, peer.Features, featuresFromStatus)
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -71,8 +71,12 @@
 		s.checkRecordIfLate(r.Service, history, now)
 	}
 	isRegular := !isException && isInRecord && (len(history.Mixes) == 1 || s.followsList(now)) && history.isVersionSince(r.StreamTime.Add(-recordedSkew), r, version)
+	delay := exceptionDelay
 	if isRegular && history.isVersionSince(later(r.StreamTime.Add(-maxTransit-s.maxFollowedAge()-recordedSkew), history.KnownSince), r, version) {
-		return
+		if !s.mayCountAsUnrecorded(r) || v.countOwn() >= maxListedUnrecorded {
+			return
+		}
+		delay = unrecordedListDelay
 	}
 	v.ExceptionSeq++
 	if !isRegular {
@@ -83,7 +87,7 @@
 		Event: "stream_recorded", RequestID: r.ID, Stream: r.StreamID, Version: version, Outcome: recordOutcome(isRegular || !r.isResumable()), Elapsed: now.Sub(r.ArrivedAt),
 		StreamAge: now.Sub(r.StreamTime),
 	})
-	v.ExceptionWrite.markDue(now.Add(exceptionDelay))
+	v.ExceptionWrite.markDue(now.Add(delay))
 }
 
 // canRecord reports whether the store has the version of a new stream, or is expected to take it.
@@ -120,7 +124,8 @@
 	for _, number := range sortedKeys(s.Requests) {
 		r := s.Requests[number]
 		isNew := r.Service == service && r.keepsVersion() && r.ResumeAfter == "" && r.Attempt > 0
-		if isNew && since.Sub(r.StreamTime) <= s.maxFollowedAge()+recordedSkew {
+		isRecent := since.Sub(r.StreamTime) <= s.maxFollowedAge()+recordedSkew
+		if isNew && (isRecent || s.mayCountAsUnrecorded(r)) {
 			s.recordVersion(r, history, r.begunVersion(), now)
 		}
 	}
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -94,6 +94,9 @@
 	if to.After(s.mixesKnownUntil(r.Service, now)) {
 		return "", false
 	}
+	if s.mayBeUnrecorded(from) {
+		return s.lookUpUnrecorded(history, from, now)
+	}
 	return history.VersionBetween(r.StreamID, from.Add(-s.maxFollowedAge()), to)
 }
 
@@ -126,6 +129,8 @@
 		return "own_exception"
 	case isException:
 		return "exception"
+	case s.mayBeUnrecorded(from):
+		return "unrecorded"
 	case from.Before(history.FollowedSince):
 		return "record"
 	}
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -23,29 +23,32 @@
 
 // StreamVersions is what a router knows of the versions at which streams have begun.
 type StreamVersions struct {
-	ByService      map[string]*VersionHistory
-	Timeouts       map[string]TimeoutRange    // By name of the route.
-	Exceptions     map[string]StreamException // By ID of the stream.
-	LoadedAt       time.Time                  // Start of the last read of the record in the store, which outlives the routers.
-	Reading        Polling
-	MixWrite       RecordWrite
-	ExceptionWrite RecordWrite
-	ExceptionSeq   uint64                    // Of the last exception of this router.
-	WritingSeq     uint64                    // Of the last exception of this router that is in the write in progress.
-	WrittenSeq     uint64                    // Of the last exception of this router that the store has.
-	ToldSeq        uint64                    // Of the last exception of this router that others have been told of.
-	AskedSeq       uint64                    // Of the last exception of this router that others have been asked to write.
-	Adopted        map[string]bool           // By ID of the stream: other routers that can't write it wait for this one to do so.
-	RecordedMixes  map[string]map[string]int // By service: weights of the last mix that the store is known to have.
-	WritingMixes   map[string]map[string]int // The same as of the write in progress.
-	Held           []RequestArrived          // Requests that wait for the record.
-	BrokenOff      []*Request                // New streams that have broken off lately.
-	Ahead          map[string]time.Time      // By service: since when the record has mixes that this router has not applied.
-	StoodStillAt   time.Time                 // Of the last step before the router stood still; zero once it has heard of the list since.
-	WokeAt         time.Time                 // Of the first step after that one.
-	WrittenClock   RecordClock               // Of the mixes that this router has written last.
-	ClockWrittenAt time.Time
-	RecordedClocks map[string]time.Duration // By router: by how much its clock is ahead, by the record.
+	ByService        map[string]*VersionHistory
+	Timeouts         map[string]TimeoutRange    // By name of the route.
+	Exceptions       map[string]StreamException // By ID of the stream.
+	LoadedAt         time.Time                  // Start of the last read of the record in the store, which outlives the routers.
+	Reading          Polling
+	MixWrite         RecordWrite
+	ExceptionWrite   RecordWrite
+	UnrecordedWrite  RecordWrite
+	Unrecorded       UnrecordedStreams         // As far as this router has seen.
+	StoredUnrecorded UnrecordedStreams         // As last read from the store.
+	ExceptionSeq     uint64                    // Of the last exception of this router.
+	WritingSeq       uint64                    // Of the last exception of this router that is in the write in progress.
+	WrittenSeq       uint64                    // Of the last exception of this router that the store has.
+	ToldSeq          uint64                    // Of the last exception of this router that others have been told of.
+	AskedSeq         uint64                    // Of the last exception of this router that others have been asked to write.
+	Adopted          map[string]bool           // By ID of the stream: other routers that can't write it wait for this one to do so.
+	RecordedMixes    map[string]map[string]int // By service: weights of the last mix that the store is known to have.
+	WritingMixes     map[string]map[string]int // The same as of the write in progress.
+	Held             []RequestArrived          // Requests that wait for the record.
+	BrokenOff        []*Request                // New streams that have broken off lately.
+	Ahead            map[string]time.Time      // By service: since when the record has mixes that this router has not applied.
+	StoodStillAt     time.Time                 // Of the last step before the router stood still; zero once it has heard of the list since.
+	WokeAt           time.Time                 // Of the first step after that one.
+	WrittenClock     RecordClock               // Of the mixes that this router has written last.
+	ClockWrittenAt   time.Time
+	RecordedClocks   map[string]time.Duration // By router: by how much its clock is ahead, by the record.
 
 	checkedAt time.Time // When the list of servers was last current, before the present step.
 	steppedAt time.Time // Time of the last step.
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -174,10 +174,13 @@
 
 // takeUp has all streams taken up at other routers than those that began them. It returns how many go on,
 // and fails if one does so at another version.
-func (f *streams) takeUp() int {
+func (f *streams) takeUp() int { return f.takeUpAt(f.names...) }
+
+// takeUpAt has all streams taken up at the named routers in turn, as takeUp does.
+func (f *streams) takeUpAt(names ...string) int {
 	goOn := 0
 	for i, stream := range f.begun {
-		name := f.names[(i+2)%len(f.names)]
+		name := names[(i+2)%len(names)]
 		r := f.routers[name]
 		r.sendRequest("/stream/x", func(ev *dtdispatch.RequestArrived) {
 			ev.ID = stream.id + "-again"
--- /dev/null
+++ b/core/dtdispatch/unrecorded.go
@@ -0,0 +1,183 @@
+package dtdispatch
+
+import "time"
+
+// A router of an earlier build may know no versions: it begins streams anywhere and lists none, so that the version of a
+// stream does not follow from its ID. While such routers serve, a stream is certain only if it is listed, or if there was
+// one version only.
+
+const (
+	// featureGrace is the time for which a router that has said nothing of versions may yet show that it records them.
+	featureGrace = 2 * time.Second
+	// unrecordedLead is by how much the time in the store up to which streams may be unrecorded is ahead when it is written.
+	unrecordedLead = peerTimeout
+	// maxListLag is how old the list of servers may be by which a router that records nothing begins a stream.
+	maxListLag = 10 * time.Second
+	// maxListedUnrecorded is the number of own exceptions up to which a router lists streams that need no exception otherwise.
+	maxListedUnrecorded = 1024
+	// unrecordedListDelay is the delay of writing these.
+	unrecordedListDelay = 200 * time.Millisecond
+)
+
+// UnrecordedStreams says which streams may have begun at a router that records no versions.
+type UnrecordedStreams struct {
+	Until         time.Time   // Those that have begun before.
+	UnknownBefore time.Time   // Those that have begun before may have done so at any version.
+	Clock         RecordClock // Of the times; for what is read from the store.
+}
+
+// keepsVersions reports whether the sender of a status records the versions at which streams begin. Builds that name no
+// features do if they name their times or hash the versions of the servers in their list.
+func (s *State) keepsVersions(status *PeerStatus, features FeatureSet) bool {
+	if features != 0 {
+		return features.Has(FeatureStreamVersions)
+	}
+	return !status.SentAt.IsZero() || len(s.Roster.Servers) > 0 && status.RosterHash == s.Roster.Hash
+}
+
+// observeRecorder notes whether the sender of a status records versions; its incarnation keeps to that.
+func (s *State) observeRecorder(peer *Peer, previous *Peer, status *PeerStatus, now time.Time) {
+	isSame := peer.Start == previous.Start && !previous.LastHeardAt.IsZero()
+	if isSame {
+		peer.ServesSince = previous.ServesSince
+	}
+	if peer.ServesSince.IsZero() && status.RosterHash != 0 {
+		peer.ServesSince = now
+	}
+	peer.KeepsVersions = isSame && previous.KeepsVersions && peer.Features == 0 || s.keepsVersions(status, peer.Features)
+	v := &s.StreamVersions
+	if !peer.recordsNothing(now) || v.Unrecorded.Until.After(now.Add(unrecordedLead/2)) {
+		return
+	}
+	if !v.Unrecorded.Until.After(now) {
+		s.emit(LogRecord{Event: "streams_unrecorded", Subject: status.From, Detail: peer.Features.String()})
+	}
+	v.Unrecorded.Until = now.Add(unrecordedLead)
+	if s.writesUnrecorded(now) {
+		v.UnrecordedWrite.markDue(now)
+	}
+}
+
+// recordsNothing reports whether the router begins streams without recording their versions, as far as is known.
+func (p *Peer) recordsNothing(now time.Time) bool {
+	return p.mayRecordNothing() && now.Sub(p.ServesSince) >= featureGrace
+}
+
+func (p *Peer) mayRecordNothing() bool { return !p.KeepsVersions && !p.ServesSince.IsZero() }
+
+// writesUnrecorded reports whether this router is the one that writes to the store up to when streams may be unrecorded: the
+// first by name, in a large fleet of each failure domain.
+func (s *State) writesUnrecorded(now time.Time) bool {
+	for name, peer := range s.Peers.ByName {
+		isNear := !s.Membership.IsLarge() || peer.Domain == s.Settings.Domain
+		if name < s.Settings.RouterName && isNear && peer.Features.Has(FeatureStreamVersions) && now.Sub(peer.LastHeardAt) < collectorTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// unrecordedUntil returns the time up to which streams may have begun at a router that records no versions.
+func (s *State) unrecordedUntil() time.Time {
+	v := &s.StreamVersions
+	until := later(v.Unrecorded.Until, v.StoredUnrecorded.Until)
+	for _, peer := range s.Peers.ByName {
+		if peer.mayRecordNothing() {
+			until = later(until, peer.LastHeardAt)
+		}
+	}
+	return until
+}
+
+// unknownBefore returns the time before which this router can't know which versions served.
+func (v *StreamVersions) unknownBefore() time.Time {
+	return later(v.Unrecorded.UnknownBefore, v.StoredUnrecorded.UnknownBefore)
+}
+
+// mayBeUnrecorded reports whether a stream that has begun after from may have done so at a router that records nothing.
+func (s *State) mayBeUnrecorded(from time.Time) bool {
+	return from.Before(s.unrecordedUntil()) || from.Before(s.StreamVersions.unknownBefore())
+}
+
+// lookUpUnrecorded returns the version of a stream that has begun after from, possibly at a router that records nothing.
+func (s *State) lookUpUnrecorded(history *VersionHistory, from, now time.Time) (string, bool) {
+	before := s.StreamVersions.unknownBefore()
+	if from.Before(before) {
+		return "", false
+	}
+	return history.onlyVersionBetween(later(from.Add(-maxListLag), before), now)
+}
+
+// onlyVersionBetween returns the version of all servers from a time to another, if there was no other.
+func (h *VersionHistory) onlyVersionBetween(from, to time.Time) (only string, isOnly bool) {
+	if from.Before(h.KnownSince) || h.hasGapBetween(from, to) {
+		return "", false
+	}
+	for i, mix := range h.Mixes {
+		hasBegun := i == 0 || !mix.earliest().After(to)
+		hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
+		if !hasBegun || hasEnded {
+			continue
+		}
+		for version := range mix.Weights {
+			if isOnly && version != only {
+				return "", false
+			}
+			only, isOnly = version, true
+		}
+	}
+	return only, isOnly
+}
+
+// mayCountAsUnrecorded reports whether other routers may take a new stream for one that began at a router that records nothing.
+func (s *State) mayCountAsUnrecorded(r *Request) bool {
+	timeouts := s.StreamVersions.timeoutsOf(r.Route)
+	earliest := r.StreamTime.Add(timeouts.Min - timeouts.Max - maxTransit - 2*mixSkew)
+	return earliest.Before(s.unrecordedUntil())
+}
+
+// observeNoRecord notes that there was no record when this router started. Unless the fleet starts for the first time, routers that
+// record nothing may have served until then, and some may not have been heard of yet.
+func (s *State) observeNoRecord(now time.Time) {
+	if s.Settings.IsFirstStart {
+		return
+	}
+	v := &s.StreamVersions
+	v.Unrecorded.UnknownBefore = s.StartedAt
+	v.Unrecorded.Until = later(v.Unrecorded.Until, s.StartedAt.Add(featureGrace))
+	if s.writesUnrecorded(now) {
+		v.UnrecordedWrite.markDue(now.Add(versionRecordDelay))
+	}
+}
+
+// applyUnrecorded applies what the store has, by the clock of this router. It was written less than unrecordedLead ahead.
+func (s *State) applyUnrecorded(stored UnrecordedStreams, now time.Time) {
+	v := &s.StreamVersions
+	v.StoredUnrecorded = UnrecordedStreams{}
+	ahead, _ := s.aheadOfRecord(&stored.Clock, now)
+	middle, skew := ahead.middle()
+	if !stored.Until.IsZero() {
+		v.StoredUnrecorded.Until = earlier(stored.Until.Add(middle+skew), now.Add(unrecordedLead))
+	}
+	if !stored.UnknownBefore.IsZero() {
+		v.StoredUnrecorded.UnknownBefore = earlier(stored.UnknownBefore.Add(middle+skew), now)
+	}
+}
+
+// unrecordedRecord returns what this router knows, for the store.
+func (s *State) unrecordedRecord(now time.Time) VersionRecord {
+	return VersionRecord{Unrecorded: UnrecordedStreams{
+		Until: s.unrecordedUntil(), UnknownBefore: s.StreamVersions.unknownBefore(), Clock: s.recordClock(now),
+	}}
+}
+
+// countOwn returns the number of exceptions that this router writes.
+func (v *StreamVersions) countOwn() int {
+	n := 0
+	for _, exception := range v.Exceptions {
+		if exception.IsOwn {
+			n++
+		}
+	}
+	return n
+}
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -36,6 +36,9 @@
 	v := &s.StreamVersions
 	v.RecordedMixes = nil
 	v.MixWrite.markDue(now.Add(versionRecordDelay))
+	if now.Sub(s.unrecordedUntil()) <= maxStreamAge {
+		v.UnrecordedWrite.markDue(now.Add(versionRecordDelay))
+	}
 	if !s.Membership.IsLarge() || s.isReader(now) {
 		v.adoptExceptions()
 	}
@@ -75,6 +78,7 @@
 const (
 	PartMixes      RecordPart = iota // The histories and timeouts, which one router writes for all.
 	PartExceptions                   // The exceptions of one router.
+	PartUnrecorded                   // Which streams may be unrecorded.
 )
 
 // VersionRecord is the record of StreamVersions in the store.
@@ -83,6 +87,7 @@
 	Timeouts   map[string]TimeoutRange   // By name of the route.
 	Exceptions map[string]StreamException
 	Clock      RecordClock // Of the times in Histories.
+	Unrecorded UnrecordedStreams
 }
 
 func (s *State) readVersionRecord(now time.Time) {
@@ -99,6 +104,7 @@
 	v.Reading.Succeed(v.Reading.StartedAt.Add(minRecordReadGap))
 	v.mergeTimeouts(ev.Record.Timeouts)
 	v.addRecordedExceptions(ev.Record.Exceptions, now)
+	s.applyUnrecorded(ev.Record.Unrecorded, now)
 	s.applyHistories(&ev, now)
 	s.recordAwaiting(now)
 	s.releaseHeldResumes(now)
@@ -142,6 +148,9 @@
 		v.compareHistories(histories)
 		return
 	}
+	if len(histories) == 0 {
+		s.observeNoRecord(now)
+	}
 	s.logRecordedMixes(histories, now)
 	if ev.Record.hasTimes() {
 		v.rememberClocks(&ev.Record.Clock, ahead)
@@ -234,17 +243,23 @@
 
 // write returns the state of writing a part of the record.
 func (v *StreamVersions) write(part RecordPart) *RecordWrite {
-	if part == PartExceptions {
+	switch part {
+	case PartExceptions:
 		return &v.ExceptionWrite
+	case PartUnrecorded:
+		return &v.UnrecordedWrite
+	default:
+		return &v.MixWrite
 	}
-	return &v.MixWrite
 }
 
 // nextVersionRecordAt returns when a part of the record is to be written next, or the zero time.
 func (s *State) nextVersionRecordAt(now time.Time) time.Time {
 	next := s.StreamVersions.ExceptionWrite.nextAt()
-	if at := s.nextMixWriteAt(now); next.IsZero() || !at.IsZero() && at.Before(next) {
-		return at
+	for _, at := range [...]time.Time{s.nextMixWriteAt(now), s.StreamVersions.UnrecordedWrite.nextAt()} {
+		if next.IsZero() || !at.IsZero() && at.Before(next) {
+			next = at
+		}
 	}
 	return next
 }
@@ -291,6 +306,9 @@
 		s.tellRecorded()
 		s.writeVersionRecord(PartExceptions, VersionRecord{Exceptions: v.ownExceptions(now)}, now)
 	}
+	if at := v.UnrecordedWrite.nextAt(); !at.IsZero() && !now.Before(at) {
+		s.writeVersionRecord(PartUnrecorded, s.unrecordedRecord(now), now)
+	}
 	at := s.nextMixWriteAt(now)
 	if at.IsZero() || now.Before(at) {
 		return
@@ -339,12 +357,13 @@
 	}
 	v := &s.StreamVersions
 	v.write(ev.Part).Succeed(next)
-	if ev.Part == PartExceptions {
+	switch {
+	case ev.Part == PartExceptions:
 		v.WrittenSeq = v.WritingSeq
 		s.emit(LogRecord{Event: "streams_stored", Detail: strconv.FormatUint(v.WrittenSeq, 10)})
 		s.tellStored()
 		s.forwardHeldStreams(now)
-	} else if v.observeMixNews(v.WritingMixes) {
+	case ev.Part == PartMixes && v.observeMixNews(v.WritingMixes):
 		s.tellMixes()
 	}
 	s.writeVersionRecordIfDue(now)
