dtdispatch: a router that records nothing is not chosen to record for others

Callers saw nothing of it by itself; found by reading. One router writes the mixes for all, and one of each domain the streams that another can't write: the collector, which may run a build that knows no versions. Then a change never gets into the store, so that all streams that it moves are held and listed one by one, and a router that starts knows neither. Recorders are now chosen without routers that record nothing. Who reads lists and collects loads stays as it was.

TestRecordIsLeftToARouterThatRecordsNothing: {"v1": 1} recorded 3 s after a release to two versions without the change, both with it.

--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -204,3 +204,17 @@
 		r.Expect(r.state.StreamVersions.Unrecorded.Until.IsZero()).To(Equal(namesTime))
 	}
 }
+
+// TestRecordIsLeftToARouterThatRecordsNothing guards against versions that nobody writes to the store, as the router that
+// is to do so for all runs a build that knows none.
+func TestRecordIsLeftToARouterThatRecordsNothing(t *testing.T) {
+	f := newStreamsOf(t, noVersions, "", "")
+	f.cores = map[string]float64{"r1": 8}
+	f.run(10*time.Second, f.names...)
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(3*time.Second, f.names...)
+	f.Expect(f.record.Histories).NotTo(BeEmpty())
+	for service, history := range f.record.Histories {
+		f.Expect(history.Weights()).To(HaveLen(2), service)
+	}
+}
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -65,6 +65,16 @@
 
 func (p *Peer) mayRecordNothing() bool { return !p.KeepsVersions && !p.ServesSince.IsZero() }
 
+// recorder returns the router of a failure domain that records versions for others: its collector, but for routers that record
+// nothing.
+func (s *State) recorder(domain string, maxSilence time.Duration, now time.Time) string {
+	return s.firstRouter(domain, maxSilence, func(p *Peer) bool { return !p.recordsNothing(now) }, now)
+}
+
+func (s *State) isRecorder(now time.Time) bool {
+	return s.recorder(s.Settings.Domain, readerTimeout, now) == s.Settings.RouterName
+}
+
 // writesUnrecorded reports whether this router is the one that writes to the store up to when streams may be unrecorded: the
 // first by name, in a large fleet of each failure domain.
 func (s *State) writesUnrecorded(now time.Time) bool {
--- a/core/dtdispatch/versionnews.go
+++ b/core/dtdispatch/versionnews.go
@@ -29,7 +29,7 @@
 		}
 	}
 	s.observeStored(news.Stored, now)
-	if v.observeMixNews(news.Mixes) && s.Membership.IsLarge() && s.isReader(now) {
+	if v.observeMixNews(news.Mixes) && s.Membership.IsLarge() && s.isRecorder(now) {
 		s.tellMixes()
 	}
 	s.adoptVersions(news.Versions, now)
@@ -46,7 +46,7 @@
 		if known.IsOwn {
 			continue
 		}
-		exception := StreamException{Version: version, At: now, IsOwn: s.isReader(now)}
+		exception := StreamException{Version: version, At: now, IsOwn: s.isRecorder(now)}
 		if exception.IsOwn {
 			v.ExceptionSeq++
 			exception.Seq = v.ExceptionSeq
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -39,7 +39,7 @@
 	if now.Sub(s.unrecordedUntil()) <= maxStreamAge {
 		v.UnrecordedWrite.markDue(now.Add(versionRecordDelay))
 	}
-	if !s.Membership.IsLarge() || s.isReader(now) {
+	if !s.Membership.IsLarge() || s.isRecorder(now) {
 		v.adoptExceptions()
 	}
 	if v.ExceptionSeq > 0 {
@@ -284,14 +284,14 @@
 	return v.LoadedAt.IsZero() || v.LoadedAt.Before(v.lastGapEnd())
 }
 
-// writesMixes reports whether this router is the one that writes the mixes: the collector of the first failure
-// domain that is heard of.
+// writesMixes reports whether this router is the one that writes the mixes: the recorder of the first failure
+// domain that has one.
 func (s *State) writesMixes(now time.Time) bool {
-	if !s.isReader(now) {
+	if !s.isRecorder(now) {
 		return false
 	}
 	for _, domain := range s.otherDomains() {
-		if domain < s.Settings.Domain && s.collector(domain, collectorTimeout, now) != "" {
+		if domain < s.Settings.Domain && s.recorder(domain, collectorTimeout, now) != "" {
 			return false
 		}
 	}
