dtdispatch: believe that the fleet starts for the first time only as long as nothing shows an earlier start

Callers saw more retries than the fleet may make, where routers are killed and their settings go on to say bootstrap: each start had a whole share of the budget at once. Cause: the setting alone decided, and nothing else was asked.

The harness of the reducer and that of dtnode register their routers as new, since IsFirstStart alone no longer gives the whole share.

--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -196,6 +196,12 @@
 	Interrupted bool // The call was ended by RestartWatch.
 }
 
+// RouterRegistered reports that this router has registered in the store, if its settings say that the fleet starts for
+// the first time.
+type RouterRegistered struct {
+	IsNew bool // The store had no trace of an earlier incarnation of it.
+}
+
 // StoreEraRead reports that a response of the store names a higher era than those before: the store has
 // come back from an older copy of its data.
 type StoreEraRead struct{ Era uint64 }
@@ -254,6 +260,7 @@
 func (ConfigReceived) isEvent()            {}
 func (ServersListed) isEvent()             {}
 func (RoutersListed) isEvent()             {}
+func (RouterRegistered) isEvent()          {}
 func (ListServersFailed) isEvent()         {}
 func (DomainsOutOfServiceListed) isEvent() {}
 func (OperatorKeysRead) isEvent()          {}
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -56,6 +56,7 @@
 		RouterName: name, Address: name + ":1", OwnAddresses: []string{"10.9.9.9:80"}, Domain: domain, Bounds: bounds, Start: start, Regions: map[string]string{"d0": "east", "d1": "east"},
 		IsFirstStart: true,
 	}, now)
+	state.Membership.IsNew = true
 	return &router{WithT: NewWithT(t), state: state, now: now}
 }
 
--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -56,6 +56,7 @@
 	ListedAt    time.Time // When the last list was read.
 	ListCount   int
 	NextListAt  time.Time
+	IsNew       bool      // The store had no trace of an earlier incarnation of this router when it registered.
 	RetainUntil time.Time // Until then routers are kept that are missing from a list.
 
 	delegates     map[string][]string // By failure domain, in order of precedence.
--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -17,6 +17,7 @@
 	*fleet
 	t        *testing.T
 	names    []string
+	always   bool // The settings say at each start that the fleet starts for the first time.
 	next     int
 	requests []time.Time
 	retries  []time.Time
@@ -92,11 +93,12 @@
 	now := f.routers[name].now
 	r := newEmptyRouter(f.t, name)
 	settings := r.state.Settings
-	settings.Start, settings.IsFirstStart = now.UnixMilli(), false
+	settings.Start, settings.IsFirstStart = now.UnixMilli(), f.always
 	r.state, r.now = dtdispatch.New(settings, now), now
 	f.routers[name], f.down[name] = r, false
 	delete(f.readRevision, name)
 	delete(f.operators.readRevision, name)
+	r.step(dtdispatch.RouterRegistered{IsNew: false})
 	r.step(dtdispatch.ConfigReceived{Config: testConfig(1)})
 	r.listServers(f.revision, testServers(4)...)
 }
@@ -171,6 +173,45 @@
 	})
 }
 
+// TestRestartsTakenForTheFirstStartRetryMoreThanTheFleetMay guards against routers that have their whole retry budget after
+// each restart since their settings still say that the fleet starts for the first time.
+func TestRestartsTakenForTheFirstStartRetryMoreThanTheFleetMay(t *testing.T) {
+	t.Run("one after the other", func(t *testing.T) {
+		f := newRetryFleet(t, 7)
+		f.always = true
+		f.play(20*time.Second, 2, true, func(at time.Duration) {
+			name := f.names[int(at/(500*time.Millisecond))%len(f.names)]
+			switch at % (500 * time.Millisecond) {
+			case 0:
+				f.kill(name)
+			case 300 * time.Millisecond:
+				f.restart(name)
+			}
+		})
+		f.expectWithinBounds()
+	})
+	t.Run("all at once", func(t *testing.T) {
+		f := newRetryFleet(t, 7)
+		f.always = true
+		f.play(20*time.Second, 2, true, func(at time.Duration) { f.cycleAll(at, 4*time.Second) })
+		f.expectWithinBounds()
+	})
+}
+
+// TestRouterThatJoinsIsTakenForTheFirstStart guards against a new name in a running fleet whose settings say that the fleet
+// starts for the first time.
+func TestRouterThatJoinsIsTakenForTheFirstStart(t *testing.T) {
+	f := newRetryFleet(t, 3)
+	f.routers["r3"] = newRouterAt(t, "r3", "d0", f.routers["r0"].now, f.routers["r0"].now.UnixMilli())
+	f.names = append(f.names, "r3")
+	f.run(2*time.Second, f.names...)
+	for name, share := range map[string]string{"r0": "first_start", "r3": "restarted"} {
+		r := f.routers[name]
+		r.endAttempt(r.sendRequest("/read/x"), 1, dtdispatch.OutcomeFailure, func(ev *dtdispatch.AttemptEnded) { ev.Status = 500 })
+		r.Expect(effectsOf[dtdispatch.LogRecord](r.effects)).To(ContainElement(And(HaveField("Event", "retry"), HaveField("Detail", share))), name)
+	}
+}
+
 // cycleAll kills all routers once in each period and restarts them 0.3 s later.
 func (f *retryFleet) cycleAll(at, period time.Duration) {
 	for _, name := range f.names {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -45,7 +45,7 @@
 	Regions      map[string]string // Regions by failure domain.
 	Bounds       Bounds
 	Start        int64 // Start time in Unix milliseconds, which identifies the incarnation of the router.
-	IsFirstStart bool  // The whole fleet starts for the first time, so that no router has an earlier incarnation.
+	IsFirstStart bool  // The whole fleet may be starting for the first time; see State.isFirstStart.
 }
 
 // State is the complete state of a router's reducer; only Step changes it.
@@ -195,6 +195,8 @@
 	case RoutersListed:
 		s.markStoreUp()
 		s.handleRoutersListed(ev, now)
+	case RouterRegistered:
+		s.Membership.IsNew = ev.IsNew
 	case SettingsChanged:
 		s.handleSettingsChanged(ev, now)
 	case VersionRecordRead:
@@ -344,7 +346,7 @@
 func (s *State) retryBounds(now time.Time) Bounds {
 	b := s.Settings.Bounds
 	age, forgetting := now.Sub(s.StartedAt), coveringLength(b.RetryWindow)
-	hasRestarted := !s.Settings.IsFirstStart
+	hasRestarted := !s.isFirstStart()
 	if hasRestarted && age < forgetting {
 		b.RetryRatio *= restartRatioFactor
 	}
@@ -357,7 +359,7 @@
 // retryShare returns what part of the share of a router retryBounds leaves, for the log.
 func (s *State) retryShare(now time.Time) string {
 	age, forgetting := now.Sub(s.StartedAt), coveringLength(s.Settings.Bounds.RetryWindow)
-	hasRestarted := !s.Settings.IsFirstStart
+	hasRestarted := !s.isFirstStart()
 	switch {
 	case hasRestarted && age < forgetting:
 		return "restarted"
--- a/dottereltack/dtnode/harness_test.go
+++ b/dottereltack/dtnode/harness_test.go
@@ -196,6 +196,7 @@
 	for i, s := range servers {
 		list = append(list, dtdispatch.Server{ID: dtdispatch.ServerID(fmt.Sprintf("s%d", i)), Service: "a", Address: s.address, Domain: "d"})
 	}
+	n.Loop.Post(dtdispatch.RouterRegistered{IsNew: true})
 	n.Loop.Post(dtdispatch.ConfigReceived{Config: config})
 	n.Loop.Post(dtdispatch.ServersListed{Servers: list, Revision: 1})
 	node := &testNode{WithT: NewWithT(t), Node: n, t: t}
