mutate, retrybudget_test: a new name before and after it has heard from the fleet

The test waited 2 s, in which the router had not heard from all, so that the mutation that takes a new name for the first start was not caught. It checks after 1 s and after 5 s.

--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -116,13 +116,20 @@
 	return n
 }
 
-// expectWithinBounds checks the retries in each retry window against those that the bounds allow for the requests
-// in it, in the one before it or in the one half a window before it.
+// expectWithinBounds checks the retries in each retry window against those that the bounds allow.
 func (f *retryFleet) expectWithinBounds() {
 	f.t.Helper()
 	g := NewWithT(f.t)
 	g.Expect(f.retries).NotTo(BeEmpty())
-	worst, limit, at := 0, math.Inf(1), time.Duration(0)
+	worst, limit, at := f.worstWindow()
+	f.t.Logf("%d retries of %.1f in the worst window, from %s", worst, limit, at)
+	g.Expect(float64(worst)).To(BeNumerically("<=", limit), "retries in the window from %s", at)
+}
+
+// worstWindow returns the retries in the retry window that exceeds what the bounds allow by most or comes closest to it, what
+// they allow, and when it begins. They go by the requests in it, in the one before it or in the one half a window before it.
+func (f *retryFleet) worstWindow() (worst int, limit float64, at time.Duration) {
+	limit = math.Inf(1)
 	length := bounds.RetryWindow
 	for start := f.requests[0].Add(-length); start.Before(f.requests[len(f.requests)-1]); start = start.Add(retryTick) {
 		requests := max(count(f.requests, start, length), count(f.requests, start.Add(-length), length), count(f.requests, start.Add(-length/2), length))
@@ -131,8 +138,7 @@
 			worst, limit, at = retries, allowed, start.Sub(f.requests[0])
 		}
 	}
-	f.t.Logf("%d retries of %.1f in the worst window, from %s", worst, limit, at)
-	g.Expect(float64(worst)).To(BeNumerically("<=", limit), "retries in the window from %s", at)
+	return worst, limit, at
 }
 
 // TestKilledRoutersRetryMoreThanTheFleetMay guards against routers that have their whole retry budget again after each restart.
@@ -204,11 +210,13 @@
 	f := newRetryFleet(t, 3)
 	f.routers["r3"] = newRouterAt(t, "r3", "d0", f.routers["r0"].now, f.routers["r0"].now.UnixMilli())
 	f.names = append(f.names, "r3")
-	f.run(2*time.Second, f.names...)
-	for name, share := range map[string]string{"r0": "first_start", "r3": "restarted"} {
-		r := f.routers[name]
-		r.endAttempt(r.sendRequest("/read/x"), 1, dtdispatch.OutcomeFailure, func(ev *dtdispatch.AttemptEnded) { ev.Status = 500 })
-		r.Expect(effectsOf[dtdispatch.LogRecord](r.effects)).To(ContainElement(And(HaveField("Event", "retry"), HaveField("Detail", share))), name)
+	for _, wait := range []time.Duration{time.Second, 4 * time.Second} { // Before it has heard from the others, and after.
+		f.run(wait, f.names...)
+		for name, share := range map[string]string{"r0": "first_start", "r3": "restarted"} {
+			r := f.routers[name]
+			r.endAttempt(r.sendRequest("/read/x"), 1, dtdispatch.OutcomeFailure, func(ev *dtdispatch.AttemptEnded) { ev.Status = 500 })
+			r.Expect(effectsOf[dtdispatch.LogRecord](r.effects)).To(ContainElement(And(HaveField("Event", "retry"), HaveField("Detail", share))), "%s after %s", name, wait)
+		}
 	}
 }
 
