dtdispatch: doubt a first start that the store refutes, for streams too

Callers of a fleet whose settings go on to say bootstrap could get streams of two versions after an upgrade from a build that records nothing: a router without a record trusted the setting that nothing had served before. The budget of retries doubts that setting since; streams go by the same function now. TestReleaseBeforeTheFirstRecordIsUnknown plays settings that are stale and fails before: stream-2 goes on at v2 after v1.

--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -138,7 +138,7 @@
 // TestReleaseBeforeTheFirstRecordIsUnknown guards against taking the only version listed for that of streams from before the
 // first router that records any has started.
 func TestReleaseBeforeTheFirstRecordIsUnknown(t *testing.T) {
-	for _, isFirst := range []bool{false, true} {
+	for _, start := range []struct{ saysFirst, isNew bool }{{false, true}, {true, true}, {true, false}} {
 		f := newStreams(t, "r1", "r2", "r3")
 		f.record = nil
 		f.beginAnywhere(20, "v2", "v1")
@@ -146,11 +146,11 @@
 		for _, name := range f.names {
 			r := newRouterInDomain(t, name, "d0")
 			r.now = f.routers[name].now
-			r.state.StartedAt, r.state.Settings.IsFirstStart = r.now, isFirst
+			r.state.StartedAt, r.state.Settings.IsFirstStart, r.state.Membership.IsNew = r.now, start.saysFirst, start.isNew
 			f.replace(name, r)
 		}
 		f.run(time.Second, f.names...)
-		if isFirst {
+		if start.saysFirst && start.isNew {
 			f.begun = nil // There were none.
 		}
 		f.Expect(f.takeUp()).To(BeZero())
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -149,7 +149,7 @@
 // observeNoRecord notes that there was no record when this router started. Unless the fleet starts for the first time, routers that
 // record nothing may have served until then, and some may not have been heard of yet.
 func (s *State) observeNoRecord(now time.Time) {
-	if s.Settings.IsFirstStart {
+	if s.isFirstStart() {
 		return
 	}
 	v := &s.StreamVersions
