dtdispatch: tell builds without versions by the hash of their list

Now the list is hashed without versions, too: a router that names that hash has the same list and is of a build without versions.

--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -196,6 +196,9 @@
 	peer.ListsLackVersions = previous.ListsLackVersions && previous.Start == status.Start
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
+	if s.hashesNoVersions(status) {
+		s.noteListWithoutVersions(status.From, now)
+	}
 	s.observeFeatures(status.From, peer.Features, featuresFromStatus)
 	s.Membership.see(status.From, now)
 	s.addUnlistedRouter(status)
--- a/core/dtdispatch/peerformat.go
+++ b/core/dtdispatch/peerformat.go
@@ -53,14 +53,24 @@
 	if !slices.ContainsFunc(list, func(server Server) bool { return server.LacksVersion }) {
 		return false
 	}
+	s.noteListWithoutVersions(from, now)
+	return true
+}
+
+// noteListWithoutVersions records that the build of a peer knows no versions of servers.
+func (s *State) noteListWithoutVersions(from string, now time.Time) {
 	peer, isKnown := s.Peers.ByName[from]
 	if peer.ListsLackVersions {
-		return true
+		return
 	}
 	if isKnown {
 		peer.ListsLackVersions = true
 		s.Peers.ByName[from] = peer
 	}
 	s.logPeerFault(LogRecord{Event: "peer_list_ignored", Subject: from, Kind: "server_list", Detail: "the servers' software versions are missing"}, now)
-	return true
+}
+
+// hashesNoVersions reports whether the sender of a status has the list of this router and is of a build that knows no versions.
+func (s *State) hashesNoVersions(status *PeerStatus) bool {
+	return len(s.Roster.Servers) > 0 && status.RosterHash == s.Roster.HashNoVersions
 }
--- a/core/dtdispatch/peerformat_test.go
+++ b/core/dtdispatch/peerformat_test.go
@@ -124,3 +124,22 @@
 	r.listServers(2, testServers(3)...)
 	r.Expect(list(effectsOf[dtdispatch.SendToPeers](r.effects))).To(Equal([]string{"r3"}))
 }
+
+// TestBuildWithoutVersionsIsFoundOnceItsListIsRead guards against links that are reset without end: where the store has come back from
+// a copy, revisions of 63a836f are lower, so that its lists are never asked for.
+func TestBuildWithoutVersionsIsFoundOnceItsListIsRead(t *testing.T) {
+	r := newRouter(t, 0)
+	r.listServers(3,
+		dtdispatch.Server{ID: "s1", Service: "a", Address: "10.0.0.1:80", Domain: "d0", Slots: 4, Start: 7, Version: "v1"},
+		dtdispatch.Server{ID: "s2", Service: "a", Address: "10.0.0.2:80", Domain: "d1", Slots: 4, Start: 8, Draining: true, Version: "v2"},
+		dtdispatch.Server{ID: "s3", Service: "b", Address: "10.0.0.3:80", Domain: "d1", Slots: 4, Start: 9, ColdFor: time.Second},
+	)
+	const hashOf63a836f = 0xaa77f9b200ea0ab2 // Of the same list, by its code.
+	r.step(dtdispatch.PeerMessageReceived{From: "r2", Message: &dtdispatch.PeerStatus{From: "r2", Domain: "d0", Start: 5, RosterHash: hashOf63a836f}})
+	r.Expect(r.logged("peer_list_ignored")).To(ConsistOf(HaveField("Subject", "r2")))
+	r.step(dtdispatch.PeerMessageReceived{From: "r2", Message: &dtdispatch.SyncRequest{From: "r2", WantsRoster: true}})
+	r.Expect(effectsOf[dtdispatch.SendToPeers](r.effects)).To(BeEmpty())
+	r.step(dtdispatch.PeerMessageReceived{From: "r2", Message: &dtdispatch.PeerStatus{From: "r2", Domain: "d0", Start: 6, RosterHash: r.state.Roster.Hash}})
+	r.step(dtdispatch.PeerMessageReceived{From: "r2", Message: &dtdispatch.SyncRequest{From: "r2", WantsRoster: true}})
+	r.Expect(effectsOf[dtdispatch.SendToPeers](r.effects)).To(HaveLen(1), "it runs another build")
+}
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -28,6 +28,7 @@
 	ListedAt          time.Time         // Time when the list was last read by this router, or by a peer with an identical list.
 	Revision          Revision          // Revision of Servers.
 	Hash              uint64            // Hash of the properties of Servers that placement depends on.
+	HashNoVersions    uint64            // Hash that builds which know no versions of servers have of the same list.
 	GraceEndsAt       time.Time         // End of the grace period after an outage.
 	ListedSinceOutage map[ServerID]bool // Servers listed since the grace period began.
 	IsAdjusted        bool              // Servers has entries that the last list lacked, or lacks some that had left.
@@ -187,12 +188,13 @@
 func (r *Roster) reindex() {
 	r.ByService = make(map[string][]*Server, len(r.ByService))
 	r.ByRef = make(map[ServerRef]*Server, len(r.Servers))
-	r.Hash = 0
+	r.Hash, r.HashNoVersions = 0, 0
 	for _, id := range sortedKeys(r.Servers) {
 		server := r.Servers[id]
 		server.IDHash = HashString(string(id))
 		r.ByRef[server.Ref()] = server
 		r.ByService[server.Service] = append(r.ByService[server.Service], server)
 		r.Hash = Mix(r.Hash, server.hash())
+		r.HashNoVersions = Mix(r.HashNoVersions, server.hashWithoutVersion())
 	}
 }
--- a/core/dtdispatch/server.go
+++ b/core/dtdispatch/server.go
@@ -39,7 +39,18 @@
 func (s *Server) Ref() ServerRef { return ServerRef(s.IDHash) }
 
 // hash returns a hash of the properties that placement depends on.
-func (s *Server) hash() uint64 {
+func (s *Server) hash() uint64 { return s.hashAs(s.placeName() + " " + s.Version) }
+
+// hashWithoutVersion returns the hash as builds that know no versions have it.
+func (s *Server) hashWithoutVersion() uint64 { return s.hashAs(s.placeName()) }
+
+// placeName returns what tells a server from others.
+func (s *Server) placeName() string {
+	return string(s.ID) + " " + s.Address + " " + s.Service + " " + s.Domain
+}
+
+// hashAs returns the hash of a server with a text that tells it from others.
+func (s *Server) hashAs(name string) uint64 {
 	flags := uint64(s.Start)
 	if s.Draining {
 		flags++
@@ -47,7 +58,7 @@
 	if s.ColdFor > 0 {
 		flags += 2
 	}
-	return Mix(HashString(string(s.ID)+" "+s.Address+" "+s.Service+" "+s.Domain+" "+s.Version), flags)
+	return Mix(HashString(name), flags)
 }
 
 // forPeer returns a copy for a peer in which ColdFor is relative to now.
