--- a/core/dtdispatch/clockstep_test.go
+++ b/core/dtdispatch/clockstep_test.go
@@ -335,22 +335,3 @@
 	r.step(read)
 	r.Expect(r.state.StreamVersions.ByService["a"].Mixes[0]).To(And(HaveField("At", at.Add(2*time.Second)), HaveField("Skew", 5*time.Second)))
 }
-
-// TestRecordWithoutAWriterTakenForTheOwnClocks guards against streams that go on at servers of another version after an upgrade: builds
-// up to e652a81 don't record by whose clock the times are, and any clock may have been an hour off.
-func TestRecordWithoutAWriterTakenForTheOwnClocks(t *testing.T) {
-	r := newRouterWithVersions(t, "v1", "v2")
-	read := recordOfTwoVersions()
-	at := r.now.Add(-20 * time.Second)
-	read.Record.Histories["a"].Mixes[0].At = at
-	read.Record.Clock = dtdispatch.RecordClock{}
-	for _, name := range []string{"r2", "r3"} {
-		r.step(dtdispatch.PeerMessageReceived{Message: &dtdispatch.PeerStatus{From: name, Domain: "d0", Start: 1, SentAt: r.now}})
-	}
-	r.sendRequest("/stream/x", resuming("first"))
-	r.step(read)
-	r.Expect(r.state.StreamVersions.LoadedAt.IsZero()).To(BeFalse(), "no router can tell, so none is waited for")
-	mix := r.state.StreamVersions.ByService["a"].Mixes[0]
-	r.Expect(mix.At.Add(-mix.Skew)).To(BeTemporally("<", at.Add(-9*time.Minute)))
-	r.Expect(mix.At.Add(mix.Skew)).To(BeTemporally("~", r.now, time.Microsecond), "it has begun by now")
-}
--- a/core/dtdispatch/recordclock.go
+++ b/core/dtdispatch/recordclock.go
@@ -148,7 +148,7 @@
 	most := agreeing(estimates)
 	switch {
 	case clock.Writer == "":
-		return DurationRange{Min: -maxStreamAge, Max: maxStreamAge}, true // Nobody can tell whose clock it is.
+		return DurationRange{}, true
 	case len(estimates) == 0:
 		return DurationRange{Min: -maxStreamAge, Max: maxStreamAge}, false
 	case 2*len(most) > clock.size():
@@ -224,11 +224,6 @@
 		if mix.At.After(now) {
 			mix.At, mix.Skew = now, max(mix.Skew, mix.At.Sub(now))
 		}
-		if skew == maxStreamAge { // Of an unknown clock: from its earliest time until now.
-			begin := mix.earliest()
-			mix.Skew = now.Sub(begin) / 2
-			mix.At = begin.Add(mix.Skew)
-		}
 		own.Mixes = append(own.Mixes, mix)
 	}
 	for _, gap := range h.Gaps {
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -142,11 +142,7 @@
 		v.compareHistories(histories)
 		return
 	}
-	logged := histories
-	if ev.Record.Clock.Writer == "" {
-		logged = ev.Record.Histories // By whatever clock.
-	}
-	s.logRecordedMixes(logged, now)
+	s.logRecordedMixes(histories, now)
 	if ev.Record.hasTimes() {
 		v.rememberClocks(&ev.Record.Clock, ahead)
 	}
