--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -199,6 +199,9 @@
 	s.observeRecorder(&peer, &previous, status, now)
 	s.observeClock(&peer, status, now)
 	p.ByName[status.From] = peer
+	if s.hashesNoVersions(status) {
+		s.noteListWithoutVersions(status.From, now)
+	}
 	s.observeFeatures(status.From, peer.Features, featuresFromStatus)
 	s.Membership.see(status.From, now)
 	s.addUnlistedRouter(status)
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -151,11 +151,7 @@
 	if len(histories) == 0 {
 		s.observeNoRecord(now)
 	}
-	logged := histories
-	if ev.Record.Clock.Writer == "" {
-		logged = ev.Record.Histories // By whatever clock.
-	}
-	s.logRecordedMixes(logged, now)
+	s.logRecordedMixes(histories, now)
 	if ev.Record.hasTimes() {
 		v.rememberClocks(&ev.Record.Clock, ahead)
 	}
