dtdispatch: a record that names no clock is not taken for one by the own

Callers beside a build of before may get streams of two versions where the clocks of hosts differ. Such a build names no clock in the record; a router that has just started took its times for those of its own clock, and was certain of the version that served 6 s later.

Such a record now counts as one of whose clock nothing is known. What a record holds has happened by the time at which it is read, and a mix that this router has applied itself no later than that: so that only streams of before its start are uncertain, and not those of the next ten minutes. Price: a router that has just started beside such builds refuses streams of before its start that a change may have moved, also where clocks agree.

--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -125,7 +125,9 @@
 			f.run(6*time.Second, f.names...)
 			f.begin(60)
 			f.run(time.Second, f.names...)
-			f.restart(t, "r3")
+			if b != noTimes { // Its record does not tell a router that has just started when versions changed.
+				f.restart(t, "r3")
+			}
 			f.Expect(f.takeUp()).To(Equal(60))
 			for _, exceptions := range f.exceptions {
 				f.Expect(exceptions).To(BeEmpty(), "no stream needs one")
@@ -218,3 +220,31 @@
 		f.Expect(history.Weights()).To(HaveLen(2), service)
 	}
 }
+
+// TestRecordThatNamesNoClockIsTakenForOneByTheOwn guards against streams of two versions where the record was written by a
+// router of an earlier build, which does not name its clock, and whose clock differs.
+func TestRecordThatNamesNoClockIsTakenForOneByTheOwn(t *testing.T) {
+	for _, ahead := range []time.Duration{-6 * time.Second, 6 * time.Second, 0} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			f := newStreamsOf(t, noTimes, "", "")
+			f.areOpen = true
+			f.cores = map[string]float64{"r1": 8}
+			f.clocks = clockOffsets{"r1": ahead}
+			f.run(10*time.Second, f.names...)
+			f.setVersions("v1", "v1", "v1", "v2")
+			f.run(20*time.Second, f.names...)
+			f.begin(30)
+			f.run(time.Second, f.names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(1500*time.Millisecond, f.names...)
+			f.Expect(f.record.Clock.Writer).To(BeEmpty())
+			f.restart(t, f.names...)
+			f.takeUpAt("r2", "r3") // It fails if one goes on at another version.
+			f.run(15*time.Second, f.names...)
+			f.begun = nil
+			f.begin(30)
+			f.run(3*time.Second, f.names...)
+			f.Expect(f.takeUpAt("r2", "r3")).To(Equal(30), "those that began since")
+		})
+	}
+}
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -179,6 +179,9 @@
 	}
 	f.recordWrites++
 	written := f.clocks.toWall(name, &e.Record)
+	if f.builds[name] == noTimes {
+		written.Clock = dtdispatch.RecordClock{}
+	}
 	switch e.Part {
 	case dtdispatch.PartMixes:
 		written.Exceptions, written.Unrecorded = f.record.Exceptions, f.record.Unrecorded
--- a/core/dtdispatch/recordclock.go
+++ b/core/dtdispatch/recordclock.go
@@ -147,9 +147,7 @@
 	}
 	most := agreeing(estimates)
 	switch {
-	case clock.Writer == "":
-		return DurationRange{}, true
-	case len(estimates) == 0:
+	case len(estimates) == 0: // Builds before 41c460b name no clocks.
 		return DurationRange{Min: -maxStreamAge, Max: maxStreamAge}, false
 	case 2*len(most) > clock.size():
 		return cover(most), true
@@ -159,6 +157,9 @@
 
 // awaitsClocks reports whether this router has just started and may yet hear from routers whose clocks a record names.
 func (s *State) awaitsClocks(clock *RecordClock, now time.Time) bool {
+	if clock.Writer == "" {
+		return false
+	}
 	others := clock.size()
 	if _, namesOwn := clock.aheadOfWriter(s.Settings.RouterName); namesOwn {
 		others--
@@ -220,7 +221,7 @@
 		own.KnownSince = earlier(h.KnownSince.Add(middle+skew), now)
 	}
 	for _, mix := range h.Mixes {
-		mix.At, mix.Skew = mix.At.Add(middle), mix.Skew+skew
+		mix.At, mix.Skew, mix.By = mix.At.Add(middle), mix.Skew+skew, now
 		if mix.At.After(now) {
 			mix.At, mix.Skew = now, max(mix.Skew, mix.At.Sub(now))
 		}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -21,6 +21,7 @@
 type VersionMix struct {
 	At      time.Time      // From when on.
 	Skew    time.Duration  // By how much At may be wrong, as it is by another router's clock.
+	By      time.Time      // When this router has read it in the record; zero if it has applied the mix itself.
 	Weights map[string]int // By version, without a common divisor.
 }
 
@@ -28,7 +29,12 @@
 func (m *VersionMix) earliest() time.Time { return m.At.Add(-m.Skew) }
 
 // latest returns the latest such time.
-func (m *VersionMix) latest() time.Time { return m.At.Add(m.Skew) }
+func (m *VersionMix) latest() time.Time {
+	if m.By.IsZero() {
+		return m.At.Add(m.Skew)
+	}
+	return earlier(m.At.Add(m.Skew), m.By)
+}
 
 // newWeights returns the weights of a mix for a number of servers by version.
 func newWeights(servers map[string]int) map[string]int {
@@ -168,6 +174,9 @@
 	}
 	for i := range h.Mixes {
 		h.Mixes[i].At = h.Mixes[i].At.Add(d)
+		if !h.Mixes[i].By.IsZero() {
+			h.Mixes[i].By = h.Mixes[i].By.Add(d)
+		}
 	}
 	for i := range h.Gaps {
 		h.Gaps[i] = MixGap{From: h.Gaps[i].From.Add(d), To: h.Gaps[i].To.Add(d)}
@@ -200,6 +209,7 @@
 	isNew := !maps.Equal(recorded.Weights(), current)
 	h.Mixes = slices.Concat(recorded.Mixes, h.Mixes)
 	slices.SortStableFunc(h.Mixes, func(a, b VersionMix) int { return a.At.Compare(b.At) })
+	h.narrow()
 	h.Mixes = slices.CompactFunc(h.Mixes, func(a, b VersionMix) bool { return maps.Equal(a.Weights, b.Weights) })
 	if !maps.Equal(h.Weights(), current) { // The recording router's clock is ahead.
 		h.add(VersionMix{At: now, Weights: current})
@@ -210,6 +220,16 @@
 	return isNew
 }
 
+// narrow bounds the time of a recorded mix by that at which this router has applied the same one.
+func (h *VersionHistory) narrow() {
+	for i := len(h.Mixes) - 2; i >= 0; i-- {
+		mix, next := &h.Mixes[i], &h.Mixes[i+1]
+		if !mix.By.IsZero() && maps.Equal(mix.Weights, next.Weights) {
+			mix.By = earlier(mix.latest(), next.latest())
+		}
+	}
+}
+
 // VersionBetween returns the version of a stream whose time is between from and to, and whether that is
 // certain.
 func (h *VersionHistory) VersionBetween(streamID string, from, to time.Time) (version string, isCertain bool) {
