dtdispatch: beside builds that record changes no record means one version

They record each change, so that a router that hears such a build, and none that records nothing, may take the only version for all time, as before.

--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -248,3 +248,19 @@
 		})
 	}
 }
+
+// TestOnlyVersionBesideBuildsThatRecordChangesIsKnown guards against refusals beside a build that writes no record before the first
+// change of versions.
+func TestOnlyVersionBesideBuildsThatRecordChangesIsKnown(t *testing.T) {
+	for b, goOn := range map[build]int{noTimes: 20, noVersions: 0} {
+		f := newStreamsOf(t, b, b, "")
+		f.record = nil
+		f.beginAt(20, "r1", "r2")
+		r := newRouterInDomain(t, "r3", "d0")
+		r.now = f.routers["r3"].now
+		r.state.StartedAt, r.state.Settings.IsFirstStart = r.now, false
+		f.replace("r3", r)
+		f.run(time.Second, f.names...)
+		f.Expect(f.takeUpAt("r3")).To(Equal(goOn), string(b))
+	}
+}
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -149,7 +149,7 @@
 // observeNoRecord notes that there was no record when this router started. Unless the fleet starts for the first time, routers that
 // record nothing may have served until then, and some may not have been heard of yet.
 func (s *State) observeNoRecord(now time.Time) {
-	if s.Settings.IsFirstStart {
+	if s.Settings.IsFirstStart || s.hearsEarlierRecorder() {
 		return
 	}
 	v := &s.StreamVersions
@@ -160,6 +160,19 @@
 	}
 }
 
+// hearsEarlierRecorder reports whether routers of an earlier build serve that record each change of versions, and none that records
+// nothing: no record means no change then, as they do not write one for the first version.
+func (s *State) hearsEarlierRecorder() bool {
+	isHeard := false
+	for _, peer := range s.Peers.ByName {
+		if peer.mayRecordNothing() {
+			return false
+		}
+		isHeard = isHeard || peer.KeepsVersions && peer.Features == 0
+	}
+	return isHeard
+}
+
 // applyUnrecorded applies what the store has, by the clock of this router. It was written less than unrecordedLead ahead.
 func (s *State) applyUnrecorded(stored UnrecordedStreams, now time.Time) {
 	v := &s.StreamVersions
