--- a/core/dtdispatch/feature.go
+++ b/core/dtdispatch/feature.go
@@ -83,6 +83,7 @@
 		s.Peers.Features = map[string]FeatureSet{}
 	}
 	s.Peers.Features[name] = features
+	s.Peers.countFeatureless()
 	s.emit(LogRecord{Event: "router_features", Subject: name, Detail: features.String(), Outcome: origin})
 }
 
@@ -92,15 +93,14 @@
 		_, isSeen := s.Membership.LastSeen[name]
 		return !isSeen
 	})
+	s.Peers.countFeatureless()
 }
 
-// Featureless returns the number of other routers that name no features.
-func (p *Peers) Featureless() int {
-	n := 0
+func (p *Peers) countFeatureless() {
+	p.Featureless = 0
 	for _, features := range p.Features {
 		if features == 0 {
-			n++
+			p.Featureless++
 		}
 	}
-	return n
 }
--- a/core/dtdispatch/feature_test.go
+++ b/core/dtdispatch/feature_test.go
@@ -37,7 +37,7 @@
 	}
 	r.step(dtdispatch.RoutersListed{Routers: []dtdispatch.Router{{Name: "r3", Address: "r3:1", Domain: "d0", Features: dtdispatch.FeatureTunnels}}})
 	g.Expect(logRecords(r.effects, "router_features")).To(ConsistOf(And(HaveField("Subject", "r3"), HaveField("Outcome", "store"))))
-	g.Expect(r.state.Peers.Featureless()).To(Equal(1))
+	g.Expect(r.state.Peers.Featureless).To(Equal(1))
 	var sent []dtdispatch.FeatureSet
 	for _, e := range effectsOf[dtdispatch.SendToPeers](r.advance(2 * time.Second)) {
 		if own, isStatus := e.Message.(*dtdispatch.PeerStatus); isStatus {
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -108,6 +108,7 @@
 	FeaturesSentAt     time.Time             // Time of the last status that named them in a large fleet.
 	MaxClockDifference time.Duration         // Greatest difference of another router's clock that was logged.
 	Features           map[string]FeatureSet // Of other routers, as last logged.
+	Featureless        int                   // Number of other routers that name no features.
 	lastStatus         PeerStatus
 }
 
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -55,7 +55,7 @@
 	n.gauges.storeEra.Store(int64(s.StoreEra))
 	n.gauges.budgetRouters.Store(int64(s.BudgetRouters))
 	n.gauges.maxClockMs.Store(s.Peers.MaxClockDifference.Milliseconds())
-	n.gauges.featureless.Store(int64(s.Peers.Featureless()))
+	n.gauges.featureless.Store(int64(s.Peers.Featureless))
 	if s.Config != nil {
 		n.gauges.configVersion.Store(s.Config.Version)
 	}
