dtdispatch: write the streams listed beside an earlier build more rarely

Each stream of a router that serves beside a build that records nothing is listed, and each 0.2 s was a write of a router; a large fleet would write some 600 times a second. Now 0.4 s and 10 ms for each router. A stream that breaks off within that time is refused where it is taken up.

--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -264,3 +264,19 @@
 		f.Expect(f.takeUpAt("r3")).To(Equal(goOn), string(b))
 	}
 }
+
+// TestStreamsBesideAnEarlierBuildAreWrittenRarely guards against a call to the store for each stream.
+func TestStreamsBesideAnEarlierBuildAreWrittenRarely(t *testing.T) {
+	f := newStreamsOf(t, noVersions, "", "")
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(8*time.Second, f.names...)
+	f.recordWrites = 0
+	for range 200 { // In 10 s.
+		f.beginAt(1, "r2", "r3")
+		f.run(50*time.Millisecond, f.names...)
+	}
+	f.Expect(f.recordWrites).To(BeNumerically("<=", 2*25))
+	f.run(time.Second, f.names...)
+	f.begun = f.begun[150:]
+	f.Expect(f.takeUpAt("r2", "r3")).To(Equal(50))
+}
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -76,7 +76,7 @@
 		if !s.mayCountAsUnrecorded(r) || v.countOwn() >= maxListedUnrecorded {
 			return
 		}
-		delay = unrecordedListDelay
+		delay = unrecordedListDelay + time.Duration(s.RouterCount())*unrecordedListDelayPerRouter
 	}
 	v.ExceptionSeq++
 	if !isRegular {
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -15,8 +15,9 @@
 	maxListLag = 10 * time.Second
 	// maxListedUnrecorded is the number of own exceptions up to which a router lists streams that need no exception otherwise.
 	maxListedUnrecorded = 1024
-	// unrecordedListDelay is the delay of writing these.
-	unrecordedListDelay = 200 * time.Millisecond
+	// unrecordedListDelay is the delay of writing these; unrecordedListDelayPerRouter is added to it for each router.
+	unrecordedListDelay          = 400 * time.Millisecond
+	unrecordedListDelayPerRouter = 10 * time.Millisecond
 )
 
 // UnrecordedStreams says which streams may have begun at a router that records no versions.
