--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -125,7 +125,9 @@
 			f.run(6*time.Second, f.names...)
 			f.begin(60)
 			f.run(time.Second, f.names...)
-			f.restart(t, "r3")
+			if b != noTimes { // Its record does not tell a router that has just started when versions changed.
+				f.restart(t, "r3")
+			}
 			f.Expect(f.takeUp()).To(Equal(60))
 			for _, exceptions := range f.exceptions {
 				f.Expect(exceptions).To(BeEmpty(), "no stream needs one")
@@ -218,3 +220,63 @@
 		f.Expect(history.Weights()).To(HaveLen(2), service)
 	}
 }
+
+// TestRecordThatNamesNoClockIsTakenForOneByTheOwn guards against streams of two versions where the record was written by a
+// router of an earlier build, which does not name its clock, and whose clock differs.
+func TestRecordThatNamesNoClockIsTakenForOneByTheOwn(t *testing.T) {
+	for _, ahead := range []time.Duration{-6 * time.Second, 6 * time.Second, 0} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			f := newStreamsOf(t, noTimes, "", "")
+			f.areOpen = true
+			f.cores = map[string]float64{"r1": 8}
+			f.clocks = clockOffsets{"r1": ahead}
+			f.run(10*time.Second, f.names...)
+			f.setVersions("v1", "v1", "v1", "v2")
+			f.run(20*time.Second, f.names...)
+			f.begin(30)
+			f.run(time.Second, f.names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(1500*time.Millisecond, f.names...)
+			f.Expect(f.record.Clock.Writer).To(BeEmpty())
+			f.restart(t, f.names...)
+			f.takeUpAt("r2", "r3") // It fails if one goes on at another version.
+			f.run(15*time.Second, f.names...)
+			f.begun = nil
+			f.begin(30)
+			f.run(3*time.Second, f.names...)
+			f.Expect(f.takeUpAt("r2", "r3")).To(Equal(30), "those that began since")
+		})
+	}
+}
+
+// TestOnlyVersionBesideBuildsThatRecordChangesIsKnown guards against refusals beside a build that writes no record before the first
+// change of versions.
+func TestOnlyVersionBesideBuildsThatRecordChangesIsKnown(t *testing.T) {
+	for b, goOn := range map[build]int{noTimes: 20, noVersions: 0} {
+		f := newStreamsOf(t, b, b, "")
+		f.record = nil
+		f.beginAt(20, "r1", "r2")
+		r := newRouterInDomain(t, "r3", "d0")
+		r.now = f.routers["r3"].now
+		r.state.StartedAt, r.state.Settings.IsFirstStart = r.now, false
+		f.replace("r3", r)
+		f.run(time.Second, f.names...)
+		f.Expect(f.takeUpAt("r3")).To(Equal(goOn), string(b))
+	}
+}
+
+// TestStreamsBesideAnEarlierBuildAreWrittenRarely guards against a call to the store for each stream.
+func TestStreamsBesideAnEarlierBuildAreWrittenRarely(t *testing.T) {
+	f := newStreamsOf(t, noVersions, "", "")
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(8*time.Second, f.names...)
+	f.recordWrites = 0
+	for range 200 { // In 10 s.
+		f.beginAt(1, "r2", "r3")
+		f.run(50*time.Millisecond, f.names...)
+	}
+	f.Expect(f.recordWrites).To(BeNumerically("<=", 2*25))
+	f.run(time.Second, f.names...)
+	f.begun = f.begun[150:]
+	f.Expect(f.takeUpAt("r2", "r3")).To(Equal(50))
+}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -109,6 +109,7 @@
 	MaxClockDifference time.Duration           // Greatest difference of another router's clock that was logged.
 	Features           map[string]FeatureSet   // Of other routers, as last logged.
 	LoggedFaults       map[PeerFault]time.Time // And when they were last logged.
+	Featureless        int                     // Number of other routers that name no features.
 	lastStatus         PeerStatus
 }
 
