dtdispatch: show that retries go over the budget when all load moves as servers fail

Not mended: a smaller share, or a slower use of it, takes repeats from callers in calm or in short failures. Listed in KNOWN-RED.

--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -17,7 +17,8 @@
 	*fleet
 	t        *testing.T
 	names    []string
-	always   bool // The settings say at each start that the fleet starts for the first time.
+	serving  []string // Routers that get requests; nil for all.
+	always   bool     // The settings say at each start that the fleet starts for the first time.
 	next     int
 	requests []time.Time
 	retries  []time.Time
@@ -65,9 +66,13 @@
 
 // call sends a request to the next router that is up, and has its attempts end.
 func (f *retryFleet) call(fails bool) {
-	for range f.names {
+	serving := f.serving
+	if serving == nil {
+		serving = f.names
+	}
+	for range serving {
 		f.next++
-		name := f.names[f.next%len(f.names)]
+		name := serving[f.next%len(serving)]
 		if f.down[name] {
 			continue
 		}
@@ -310,6 +315,25 @@
 	f.expectWithinBounds()
 }
 
+// TestLoadThatMovesAsAWholeRetriesMoreThanTheFleetMay guards against routers that have used their part of the retries while others
+// earn as much again, as all load moves to them when servers begin to fail.
+func TestLoadThatMovesAsAWholeRetriesMoreThanTheFleetMay(t *testing.T) {
+	for _, perTick := range []int{4, 8} {
+		t.Run(fmt.Sprint(perTick), func(t *testing.T) {
+			if perTick == 8 && !*knownRedFlag {
+				t.Skip("listed in KNOWN-RED.txt")
+			}
+			f := newRetryFleet(t, 7)
+			f.serving = f.names[:3]
+			f.play(12*time.Second, perTick, false, nil)
+			f.play(time.Second, perTick, true, nil)
+			f.serving = f.names[3:6]
+			f.play(10*time.Second, perTick, true, nil)
+			f.expectWithinBounds()
+		})
+	}
+}
+
 // TestRetryLineHidesTheShare guards against a log that does not tell by what share a router has retried.
 func TestRetryLineHidesTheShare(t *testing.T) {
 	f := newRetryFleet(t, 3)
--- a/core/dtdispatch/retrysequence_test.go
+++ b/core/dtdispatch/retrysequence_test.go
@@ -14,6 +14,7 @@
 var (
 	retrySequencesFlag = flag.Int("retries.sequences", 40, "number of drawn sequences of kills, loads and failures")
 	retryFirstFlag     = flag.Uint64("retries.first", 1, "seed of the first of them")
+	knownRedFlag       = flag.Bool("known.red", false, "also play what is listed in KNOWN-RED.txt")
 	retryMovesFlag     = flag.Bool("retries.moves", false, "whether the load moves between routers in them")
 )
 
