dtdispatch: test that a record without a clock leaves later streams certain

The mutation doubt_what_was_read_long_ago went unnoticed: streams that are uncertain are listed, and go on all the same. The test now holds that none of those that begin after the start is listed; the mutation is caught.

--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -245,6 +245,9 @@
 			f.begin(30)
 			f.run(3*time.Second, f.names...)
 			f.Expect(f.takeUpAt("r2", "r3")).To(Equal(30), "those that began since")
+			for _, stream := range f.begun {
+				f.Expect(f.routers["r2"].state.StreamVersions.Exceptions).NotTo(HaveKey(stream.id), "none of them is uncertain")
+			}
 		})
 	}
 }
