--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsOfARelease -known.red -release.seeds $(SOAK_SEEDS) -release.first $(or $(SOAK_FIRST),$(shell date +%s))
 
 upgrade:
-	go test -count=1 -timeout 0 ./platform/dtsoak -run TestTwoBuilds -v -known.red -upgrade.from $(or $(UPGRADE_FROM),$(LANDINGS)) -upgrade.plays $(or $(UPGRADE_PLAYS),all) \
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestTwoBuilds -v -upgrade.from $(or $(UPGRADE_FROM),$(LANDINGS)) -upgrade.plays $(or $(UPGRADE_PLAYS),all) \
 		-upgrade.seeds $(SOAK_SEEDS) -upgrade.first $(or $(SOAK_FIRST),$(shell date +%s)) -upgrade.for 40s
 
 streams:
