dtdispatch: clocks that were set while all routers were down do not outvote the others

Each router that starts works out by how much its clock differs from that of the record by what most of the named clocks agree on, and those that had been set were most.

At its first read a router now believes the majority only if another router has been running for longer, which would have rewritten the record; otherwise the times of the record are uncertain by what the clocks differ, unless all agree.

--- a/core/dtdispatch/clockstep_test.go
+++ b/core/dtdispatch/clockstep_test.go
@@ -250,6 +250,28 @@
 	}
 }
 
+// TestClocksSetWhileAllRoutersWereDownOutvoteTheOthers guards against routers that take the clocks of most for right, which were
+// set by the same amount while no router ran.
+func TestClocksSetWhileAllRoutersWereDownOutvoteTheOthers(t *testing.T) {
+	for _, offset := range []time.Duration{-10 * time.Second, -3 * time.Second, 3 * time.Second, 10 * time.Second} {
+		c := newClockRun(t, 1, 0, false)
+		c.changeMixTo("v1", "v2", "v2")
+		c.run(5*time.Second, c.names...)
+		c.changeMixTo("v2", "v2", "v1")
+		c.run(time.Second, c.names...)
+		c.beginSome()
+		c.changeMixTo("v2", "v2", "v1", "v1")
+		c.run(time.Second, c.names...)
+		c.beginSome()
+		c.clocks["r2"], c.clocks["r3"] = offset, offset
+		c.kill(c.names...)
+		c.run(2*time.Second, c.names...)
+		c.takeUpAt(c.names...)
+		c.Expect(c.taken).To(BeNumerically(">", 20))
+		c.Expect(c.mixed).To(BeZero(), "%v", offset)
+	}
+}
+
 // TestRecordIsWrittenAgainWhenTheClockIsSet guards against a record by a clock that is no longer the writer's.
 func TestRecordIsWrittenAgainWhenTheClockIsSet(t *testing.T) {
 	c := newClockRun(t, 1, 0, false)
--- a/core/dtdispatch/recordclock.go
+++ b/core/dtdispatch/recordclock.go
@@ -149,12 +149,18 @@
 	switch {
 	case len(estimates) == 0: // Builds before 41c460b name no clocks.
 		return DurationRange{Min: -maxStreamAge, Max: maxStreamAge}, false
-	case 2*len(most) > clock.size():
+	case 2*len(most) > clock.size() && (len(most) == len(estimates) || !s.mayHaveBeenDown()):
 		return cover(most), true
 	}
 	return cover(estimates), false
 }
 
+// mayHaveBeenDown reports whether all routers may have been down when this one started, and most of their clocks have been set
+// meanwhile, so that the others are right.
+func (s *State) mayHaveBeenDown() bool {
+	return s.StreamVersions.LoadedAt.IsZero() && !s.hasEarlierPeer()
+}
+
 // awaitsClocks reports whether this router has just started and may yet hear from routers whose clocks a record names.
 func (s *State) awaitsClocks(clock *RecordClock, now time.Time) bool {
 	if clock.Writer == "" {
