--- a/core/dtdispatch/retry.go
+++ b/core/dtdispatch/retry.go
@@ -54,7 +54,8 @@
 // takeRetry counts a retry if the budget of the service has room for it.
 func (s *State) takeRetry(r *Request, now time.Time) bool {
 	budget, routers := s.retryBudget(r.Service), s.RouterCount()
-	bounds := s.retryBounds(now)
+	share := s.retryShare(now)
+	bounds := share.bounds(s.Settings.Bounds)
 	usage := budget.Usage(bounds, routers, now)
 	isAllowed := budget.Take(bounds, routers, now)
 	outcome := "allowed"
@@ -62,7 +63,7 @@
 		outcome = ReasonRetryBudget.String()
 	}
 	s.emit(LogRecord{
-		Event: "retry", RequestID: r.ID, Subject: r.Service, Outcome: outcome, Detail: s.retryShare(now), Attempt: r.Attempt, Elapsed: now.Sub(r.ArrivedAt), Via: r.LastVia,
+		Event: "retry", RequestID: r.ID, Subject: r.Service, Outcome: outcome, Detail: string(share), Attempt: r.Attempt, Elapsed: now.Sub(r.ArrivedAt), Via: r.LastVia,
 		RouterCount: routers, Retries: usage, RouterAge: now.Sub(s.StartedAt),
 	})
 	return isAllowed
--- a/core/dtdispatch/silence.go
+++ b/core/dtdispatch/silence.go
@@ -33,7 +33,7 @@
 		return false
 	case s.Crashes.Block(r.Digest, r.PromptParts).IsActive(now):
 		return false
-	case !s.retryBudget(r.Service).HasRoom(s.retryBounds(now), s.RouterCount(), now):
+	case !s.retryBudget(r.Service).HasRoom(s.retryShare(now).bounds(s.Settings.Bounds), s.RouterCount(), now):
 		return false
 	}
 	servers := s.eligibleServers(r, s.Roster.ByService[r.Service], now)
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -340,39 +340,6 @@
 	return getOrCreate(s.DomainHealth, domain, func() *DomainHealth { return &DomainHealth{} })
 }
 
-// retryBounds returns the bounds with what this router may use of them at present. Retries of an earlier
-// incarnation may lie within the retry window, and others read later that this router shares the slack. They
-// share the slack without it once it has been cut off.
-func (s *State) retryBounds(now time.Time) Bounds {
-	b := s.Settings.Bounds
-	age, forgetting := now.Sub(s.StartedAt), coveringLength(b.RetryWindow)
-	hasRestarted := !s.isFirstStart()
-	if hasRestarted && age < forgetting {
-		b.RetryRatio *= restartRatioFactor
-	}
-	if hasRestarted && age < forgetting+s.Membership.steadyListInterval() || s.isCutOff(now) {
-		b.RetrySlack = 0
-	}
-	return b
-}
-
-// retryShare returns what part of the share of a router retryBounds leaves, for the log.
-func (s *State) retryShare(now time.Time) string {
-	age, forgetting := now.Sub(s.StartedAt), coveringLength(s.Settings.Bounds.RetryWindow)
-	hasRestarted := !s.isFirstStart()
-	switch {
-	case hasRestarted && age < forgetting:
-		return "restarted"
-	case hasRestarted && age < forgetting+s.Membership.steadyListInterval():
-		return "not_listed"
-	case s.isCutOff(now):
-		return "cut_off"
-	case !hasRestarted && age < forgetting:
-		return "first_start"
-	}
-	return "whole"
-}
-
 func (s *State) retryBudget(service string) *RetryBudget {
 	return getOrCreate(s.RetryBudgets, service, func() *RetryBudget { return NewRetryBudget(s.Settings.Bounds) })
 }
