--- a/core/dtdispatch/earlierbuild_test.go
+++ b/core/dtdispatch/earlierbuild_test.go
@@ -14,24 +14,12 @@
 func newStreamsOf(t *testing.T, builds ...build) *streams {
 	t.Helper()
 	var names []string
-	for i := range builds {
+	byName := map[string]build{}
+	for i, b := range builds {
 		names = append(names, fmt.Sprint("r", i+1))
+		byName[names[i]] = b
 	}
-	f := &streams{fleet: newFleet(t, names...), WithT: NewWithT(t), names: names, waits: callerTimeout, held: map[string]begunStream{}}
-	f.builds = map[string]build{}
-	for i, name := range names {
-		f.builds[name] = builds[i]
-	}
-	f.onForward = func(name string, n dtdispatch.RequestNumber) {
-		f.begun = append(f.begun, f.held[fmt.Sprint(name, n)])
-		delete(f.held, fmt.Sprint(name, n))
-		f.endUnlessOpen(name, n)
-	}
-	f.onSend = f.checkVersion
-	f.setVersions("v1", "v1", "v1", "v1")
-	f.run(6*time.Second, names...)
-	f.recordWrites = 0
-	return f
+	return newStreamsOfBuilds(t, byName, names...)
 }
 
 // beginAnywhere has n streams begin at a router that knows no versions.
--- a/core/dtdispatch/retrybudget_test.go
+++ b/core/dtdispatch/retrybudget_test.go
@@ -150,15 +150,7 @@
 func TestKilledRoutersRetryMoreThanTheFleetMay(t *testing.T) {
 	t.Run("one after the other", func(t *testing.T) {
 		f := newRetryFleet(t, 7)
-		f.play(20*time.Second, 2, true, func(at time.Duration) {
-			name := f.names[int(at/(500*time.Millisecond))%len(f.names)]
-			switch at % (500 * time.Millisecond) {
-			case 0:
-				f.kill(name)
-			case 300 * time.Millisecond:
-				f.restart(name)
-			}
-		})
+		f.play(20*time.Second, 2, true, f.cycleInTurn)
 		f.expectWithinBounds()
 	})
 	t.Run("all at once", func(t *testing.T) {
@@ -190,15 +182,7 @@
 	t.Run("one after the other", func(t *testing.T) {
 		f := newRetryFleet(t, 7)
 		f.always = true
-		f.play(20*time.Second, 2, true, func(at time.Duration) {
-			name := f.names[int(at/(500*time.Millisecond))%len(f.names)]
-			switch at % (500 * time.Millisecond) {
-			case 0:
-				f.kill(name)
-			case 300 * time.Millisecond:
-				f.restart(name)
-			}
-		})
+		f.play(20*time.Second, 2, true, f.cycleInTurn)
 		f.expectWithinBounds()
 	})
 	t.Run("all at once", func(t *testing.T) {
@@ -225,6 +209,17 @@
 	}
 }
 
+// cycleInTurn kills one router after the other, each 0.5 s, and restarts it 0.3 s later.
+func (f *retryFleet) cycleInTurn(at time.Duration) {
+	name := f.names[int(at/(500*time.Millisecond))%len(f.names)]
+	switch at % (500 * time.Millisecond) {
+	case 0:
+		f.kill(name)
+	case 300 * time.Millisecond:
+		f.restart(name)
+	}
+}
+
 // cycleAll kills all routers once in each period and restarts them 0.3 s later.
 func (f *retryFleet) cycleAll(at, period time.Duration) {
 	for _, name := range f.names {
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -97,8 +97,15 @@
 const callerTimeout = 5 * time.Second
 
 func newStreams(t *testing.T, names ...string) *streams {
+	t.Helper()
+	return newStreamsOfBuilds(t, nil, names...)
+}
+
+// newStreamsOfBuilds returns a fleet with streams; routers that builds does not name run this build.
+func newStreamsOfBuilds(t *testing.T, builds map[string]build, names ...string) *streams {
 	t.Helper()
 	f := &streams{fleet: newFleet(t, names...), WithT: NewWithT(t), names: names, waits: callerTimeout, held: map[string]begunStream{}}
+	f.builds = builds
 	f.onForward = func(name string, n dtdispatch.RequestNumber) {
 		f.begun = append(f.begun, f.held[fmt.Sprint(name, n)])
 		delete(f.held, fmt.Sprint(name, n))
