dtdispatch: list no more streams beside an earlier build than routers keep

Callers could get streams of two versions, also after an upgrade from a build that records nothing, and routers stood still for a second at a time. Each router listed up to 1,024 streams that need no exception, for 10 minutes each, while a router keeps 4,096 exceptions in all: four busy routers drive out those that have begun at another version than that of their hash, the own ones for good, as they leave the store with the next write. A router that has listed 1,024 lists none for the rest of 10 minutes, so that its streams are refused elsewhere. And each exception beyond 4,096 looked at all others: a record of 12,288 took 1.05 s to read, which happens up to each 50 ms. A large fleet begins some 1,200 streams a second.

Now all routers together list 2,048 such streams, each for as long as it may last. Where there is no room for all, an eighth goes at once, those of others first, which are read again.

TestStreamsAreListedForAsLongAsTheyMayLast: 0 of 40 before, 40 after. TestOwnExceptionsGiveWayToThoseOfOthers: a stream of v2 goes on at v1 before.

Price: in a fleet of 295 that is 6 streams of each router at a time; others are refused if they are taken up at a router of this build.

--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -71,9 +71,10 @@
 		s.checkRecordIfLate(r.Service, history, now)
 	}
 	isRegular := !isException && isInRecord && (len(history.Mixes) == 1 || s.followsList(now)) && history.isVersionSince(r.StreamTime.Add(-recordedSkew), r, version)
-	delay := exceptionDelay
+	delay, isSpare := exceptionDelay, false
 	if isRegular && history.isVersionSince(later(r.StreamTime.Add(-maxTransit-s.maxFollowedAge()-recordedSkew), history.KnownSince), r, version) {
-		if !s.mayCountAsUnrecorded(r) || v.countOwn() >= maxListedUnrecorded {
+		isSpare = s.mayCountAsUnrecorded(r) && s.mayAddSpare(now)
+		if !isSpare {
 			return
 		}
 		delay = unrecordedListDelay + time.Duration(s.RouterCount())*unrecordedListDelayPerRouter
@@ -83,6 +84,10 @@
 		r.RecordSeq = v.ExceptionSeq
 	}
 	v.addException(r.StreamID, StreamException{Version: version, At: now, Seq: v.ExceptionSeq, IsOwn: true}, now)
+	if isSpare {
+		until := r.StreamTime.Add(v.timeoutsOf(r.Route).Max + maxTransit)
+		v.Spare = append(v.Spare, SpareException{StreamID: r.StreamID, Seq: v.ExceptionSeq, Until: until})
+	}
 	s.emit(LogRecord{
 		Event: "stream_recorded", RequestID: r.ID, Stream: r.StreamID, Version: version, Outcome: recordOutcome(isRegular || !r.isResumable()), Elapsed: now.Sub(r.ArrivedAt),
 		StreamAge: now.Sub(r.StreamTime),
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -1,8 +1,10 @@
 package dtdispatch
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -26,6 +28,7 @@
 	ByService        map[string]*VersionHistory
 	Timeouts         map[string]TimeoutRange    // By name of the route.
 	Exceptions       map[string]StreamException // By ID of the stream.
+	Spare            []SpareException           // Own exceptions that only earlier builds make necessary, oldest first.
 	LoadedAt         time.Time                  // Start of the last read of the record in the store, which outlives the routers.
 	Reading          Polling
 	MixWrite         RecordWrite
@@ -216,18 +219,35 @@
 	if len(v.Exceptions) <= maxExceptions {
 		return
 	}
-	oldest := id
-	for other, e := range v.Exceptions {
-		if now.Sub(e.At) > maxStreamAge {
-			delete(v.Exceptions, other)
-			continue
-		}
-		if e.At.Before(v.Exceptions[oldest].At) {
-			oldest = other
+	maps.DeleteFunc(v.Exceptions, func(_ string, e StreamException) bool { return now.Sub(e.At) > maxStreamAge })
+	if len(v.Exceptions) > maxExceptions {
+		v.evictExceptions(id)
+	}
+}
+
+// evictExceptions makes room after that of a stream has been added. Those of others go first, as they are read again.
+func (v *StreamVersions) evictExceptions(added string) {
+	byAge := make([]string, 0, len(v.Exceptions))
+	for id := range v.Exceptions {
+		if id != added {
+			byAge = append(byAge, id)
 		}
 	}
-	if len(v.Exceptions) > maxExceptions {
-		delete(v.Exceptions, oldest)
+	slices.SortFunc(byAge, func(a, b string) int {
+		x, y := v.Exceptions[a], v.Exceptions[b]
+		if x.IsOwn != y.IsOwn {
+			if y.IsOwn {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(x.At.Compare(y.At), cmp.Compare(a, b))
+	})
+	for i, id := range byAge[:maxExceptions/8] {
+		if i > 0 && v.Exceptions[id].IsOwn {
+			return
+		}
+		delete(v.Exceptions, id)
 	}
 }
 
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -1,6 +1,9 @@
 package dtdispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A router of an earlier build may know no versions: it begins streams anywhere and lists none, so that the version of a
 // stream does not follow from its ID. While such routers serve, a stream is certain only if it is listed, or if there was
@@ -13,8 +16,8 @@
 	unrecordedLead = peerTimeout
 	// maxListLag is how old the list of servers may be by which a router that records nothing begins a stream.
 	maxListLag = 10 * time.Second
-	// maxListedUnrecorded is the number of own exceptions up to which a router lists streams that need no exception otherwise.
-	maxListedUnrecorded = 1024
+	// maxSpareExceptions is the number of streams that all routers list which need no exception otherwise.
+	maxSpareExceptions = maxExceptions / 2
 	// unrecordedListDelay is the delay of writing these; unrecordedListDelayPerRouter is added to it for each router.
 	unrecordedListDelay          = 400 * time.Millisecond
 	unrecordedListDelayPerRouter = 10 * time.Millisecond
@@ -195,13 +198,24 @@
 	}}
 }
 
-// countOwn returns the number of exceptions that this router writes.
-func (v *StreamVersions) countOwn() int {
-	n := 0
-	for _, exception := range v.Exceptions {
-		if exception.IsOwn {
-			n++
+// SpareException is an own exception without which others would not be certain of another version.
+type SpareException struct {
+	StreamID string
+	Seq      uint64
+	Until    time.Time // By when the stream has ended.
+}
+
+// mayAddSpare drops the spare exceptions of streams that have ended, and reports whether this router may list another one. All routers
+// together list fewer than they keep, so that no exception that is needed is lost.
+func (s *State) mayAddSpare(now time.Time) bool {
+	v := &s.StreamVersions
+	ended := 0
+	for ; ended < len(v.Spare) && v.Spare[ended].Until.Before(now); ended++ {
+		spare := v.Spare[ended]
+		if known := v.Exceptions[spare.StreamID]; known.IsOwn && known.Seq == spare.Seq {
+			delete(v.Exceptions, spare.StreamID)
 		}
 	}
-	return n
+	v.Spare = slices.Delete(v.Spare, 0, ended)
+	return len(v.Spare) < maxSpareExceptions/s.RouterCount()
 }
