dtdispatch: a listed router that is not heard from may still serve

Callers could get streams of two versions where a router of a build that records nothing is cut off from the other routers, and not from callers and the store: 15 to 30 s after it was last heard of, the others relied on the hash again. What the store lists counts as heard now, unless the entry names the feature; an entry lapses 7 to 12 s after a kill. Found in review.

TestEarlierBuildThatIsCutOffFromRoutersIsForgotten, 40 s cut off, fails before: stream-2 goes on at v2 after v1.

Open: a router of such a build that starts while it is cut off, and that another one has never heard, is not known there.

--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -80,6 +80,7 @@
 		if router.Name != s.Settings.RouterName {
 			s.observeFeatures(router.Name, router.Features, featuresFromStore)
 		}
+		s.observeListedRecorder(&router, now)
 		m.see(router.Name, now)
 		delete(m.UnlistedRouters, router.Name)
 	}
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -49,12 +49,19 @@
 		peer.ServesSince = now
 	}
 	peer.KeepsVersions = isSame && previous.KeepsVersions && peer.Features == 0 || s.keepsVersions(status, peer.Features)
+	if peer.recordsNothing(now) {
+		s.observeUnrecorded(status.From, peer, now)
+	}
+}
+
+// observeUnrecorded notes that a router which records nothing serves.
+func (s *State) observeUnrecorded(name string, peer *Peer, now time.Time) {
 	v := &s.StreamVersions
-	if !peer.recordsNothing(now) || v.Unrecorded.Until.After(now.Add(unrecordedLead/2)) {
+	if v.Unrecorded.Until.After(now.Add(unrecordedLead / 2)) {
 		return
 	}
 	if !v.Unrecorded.Until.After(now) {
-		s.emit(LogRecord{Event: "streams_unrecorded", Subject: status.From, Detail: peer.Features.String()})
+		s.emit(LogRecord{Event: "streams_unrecorded", Subject: name, Detail: peer.Features.String()})
 	}
 	v.Unrecorded.Until = now.Add(unrecordedLead)
 	if s.writesUnrecorded(now) {
@@ -62,6 +69,14 @@
 	}
 }
 
+// observeListedRecorder notes that the store lists a router, which may serve although it is not heard from.
+func (s *State) observeListedRecorder(router *Router, now time.Time) {
+	peer := s.Peers.ByName[router.Name]
+	if peer.recordsNothing(now) && !router.Features.Has(FeatureStreamVersions) {
+		s.observeUnrecorded(router.Name, &peer, now)
+	}
+}
+
 // recordsNothing reports whether the router begins streams without recording their versions, as far as is known.
 func (p *Peer) recordsNothing(now time.Time) bool {
 	return p.mayRecordNothing() && now.Sub(p.ServesSince) >= featureGrace
