dtdispatch: list the streams under way when a router begins that records nothing

Callers whose streams broke off after one router had been taken back to a build that records nothing were refused at all others while two versions served, though the streams had begun at routers that record versions: a stream of any age may be one of the earlier build by what others know, and only streams that began later were listed. Found in review.

One write more for each router and such a start; none for one version.

--- a/core/dtdispatch/earlierbuildlater_test.go
+++ b/core/dtdispatch/earlierbuildlater_test.go
@@ -3,8 +3,31 @@
 import (
 	"testing"
 	"time"
+
+	. "github.com/onsi/gomega"
 )
 
+// startEarlierBuild has a router start anew with a build that records nothing.
+func (f *streams) startEarlierBuild(t *testing.T, name string) {
+	t.Helper()
+	f.builds[name] = noVersions
+	now := f.routers[name].now
+	f.replace(name, newRouterAt(t, name, "d0", now, now.UnixMilli()))
+}
+
+// TestStreamsOfBeforeAnEarlierBuildAreRefused guards against refusing all streams that are under way when one router is taken back to a
+// build that records nothing: they began at routers that record versions.
+func TestStreamsOfBeforeAnEarlierBuildAreRefused(t *testing.T) {
+	f := newStreamsOf(t, "", "", "")
+	f.areOpen = true
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(3*time.Second, f.names...)
+	f.beginAt(40, "r2", "r3")
+	f.startEarlierBuild(t, "r1")
+	f.run(4*time.Second, f.names...)
+	f.Expect(f.takeUpAt("r2", "r3")).To(Equal(40))
+}
+
 // TestEarlierBuildThatIsCutOffFromRoutersIsForgotten guards against certainty about streams of a router that records nothing and
 // that others do not hear, while it takes requests and the store lists it.
 func TestEarlierBuildThatIsCutOffFromRoutersIsForgotten(t *testing.T) {
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -60,15 +60,27 @@
 	if v.Unrecorded.Until.After(now.Add(unrecordedLead / 2)) {
 		return
 	}
-	if !v.Unrecorded.Until.After(now) {
+	isFirst := !v.Unrecorded.Until.After(now)
+	v.Unrecorded.Until = now.Add(unrecordedLead)
+	if isFirst {
 		s.emit(LogRecord{Event: "streams_unrecorded", Subject: name, Detail: peer.Features.String()})
+		s.listStreamsUnderWay(now)
 	}
-	v.Unrecorded.Until = now.Add(unrecordedLead)
 	if s.writesUnrecorded(now) {
 		v.UnrecordedWrite.markDue(now)
 	}
 }
 
+// listStreamsUnderWay lists the streams of this router that began before streams may be unrecorded.
+func (s *State) listStreamsUnderWay(now time.Time) {
+	v := &s.StreamVersions
+	for _, service := range sortedKeys(v.ByService) {
+		if history := v.ByService[service]; len(history.Mixes) > 1 || len(history.Weights()) > 1 {
+			s.recordRecentVersions(service, history, time.Time{}, now)
+		}
+	}
+}
+
 // observeListedRecorder notes that the store lists a router, which may serve although it is not heard from.
 func (s *State) observeListedRecorder(router *Router, now time.Time) {
 	peer := s.Peers.ByName[router.Name]
