dtdispatch: record by when a mix of an unknown clock was in force

Callers were refused for up to ten minutes after an upgrade from a build that names no clock in the record, at each router that started: the others knew that the recorded changes were long past, but wrote them again as uncertain by 10 minutes either way, of which a router that reads the record can rule out only what lies after its own start. Now the record holds the range that its writer knows. Found in review.

--- a/core/dtdispatch/earlierbuildlater_test.go
+++ b/core/dtdispatch/earlierbuildlater_test.go
@@ -40,3 +40,25 @@
 	f.run(time.Second, f.names...)
 	f.takeUpAt("r2", "r3") // It fails if one goes on at another version.
 }
+
+// TestRecordOfAnUnknownClockStaysUncertain guards against refusals long after an upgrade from a build that does not name its clock in the
+// record, at each router that starts, since the record goes on to say that its times may be wrong by as long as streams last.
+func TestRecordOfAnUnknownClockStaysUncertain(t *testing.T) {
+	f := newStreamsOf(t, noTimes, noTimes, noTimes)
+	f.areOpen = true
+	f.setVersions("v1", "v1", "v1", "v2")
+	f.run(20*time.Second, f.names...)
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(20*time.Second, f.names...)
+	for _, name := range f.names {
+		f.builds[name] = ""
+		f.restart(t, name)
+		f.run(10*time.Second, f.names...)
+	}
+	f.setVersions("v1", "v2", "v2", "v2") // Written by this build.
+	f.run(60*time.Second, f.names...)
+	f.begin(40)
+	f.run(time.Second, f.names...)
+	f.restart(t, "r3")
+	f.Expect(f.takeUpAt("r3")).To(Equal(40))
+}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -230,6 +230,19 @@
 	}
 }
 
+// narrowed returns the mixes, for a record, which does not say by when a recorded one had been read.
+func (h *VersionHistory) narrowed() []VersionMix {
+	mixes := slices.Clone(h.Mixes)
+	for i := range mixes {
+		if mix := &mixes[i]; mix.latest().Before(mix.At.Add(mix.Skew)) {
+			earliest := mix.earliest()
+			middle, skew := DurationRange{Max: mix.latest().Sub(earliest)}.middle()
+			mix.At, mix.Skew = earliest.Add(middle), skew
+		}
+	}
+	return mixes
+}
+
 // VersionBetween returns the version of a stream whose time is between from and to, and whether that is
 // certain.
 func (h *VersionHistory) VersionBetween(streamID string, from, to time.Time) (version string, isCertain bool) {
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -343,7 +343,7 @@
 	record := VersionRecord{Histories: map[string]VersionHistory{}, Timeouts: maps.Clone(v.Timeouts), Clock: s.recordClock(now)}
 	for service, history := range v.ByService {
 		if len(history.Mixes) > 0 {
-			record.Histories[service] = VersionHistory{KnownSince: history.KnownSince, Mixes: slices.Clone(history.Mixes), Gaps: slices.Clone(history.Gaps)}
+			record.Histories[service] = VersionHistory{KnownSince: history.KnownSince, Mixes: history.narrowed(), Gaps: slices.Clone(history.Gaps)}
 		}
 	}
 	return record
