dtdispatch: read which streams may be unrecorded before writing that

Callers could get streams of two versions after a kill of all routers soon after the first hosts were upgraded from a build that records nothing, and a release right before that. A router wrote streams/unrecorded 2 s after it had heard of such a build, also if it had not read the record, and dropped the time before which versions are unknown, which the first upgraded router had written. Found by reading. The record is read first now, as before the mixes are written.

TestUnknownStreamsAreForgottenByARouterThatHasNotReadTheRecord, two routers that start 5 s apart: the time is gone from the store before. One read of the record more at most for each start beside such a build.

--- a/core/dtdispatch/earlierbuildlater_test.go
+++ b/core/dtdispatch/earlierbuildlater_test.go
@@ -41,6 +41,22 @@
 	f.takeUpAt("r2", "r3") // It fails if one goes on at another version.
 }
 
+// TestUnknownStreamsAreForgottenByARouterThatHasNotReadTheRecord guards against a write of a router that has just started over
+// what others have recorded.
+func TestUnknownStreamsAreForgottenByARouterThatHasNotReadTheRecord(t *testing.T) {
+	f := newStreamsOf(t, noVersions, noVersions, noVersions)
+	f.record = nil
+	for _, name := range []string{"r3", "r2"} {
+		f.builds[name] = ""
+		r := newRouterInDomain(t, name, "d0")
+		r.now = f.routers[name].now
+		r.state.StartedAt, r.state.Settings.IsFirstStart = r.now, false
+		f.replace(name, r)
+		f.run(5*time.Second, f.names...)
+		f.Expect(f.record.Unrecorded.UnknownBefore).NotTo(BeZero(), name)
+	}
+}
+
 // TestRecordOfAnUnknownClockStaysUncertain guards against refusals long after an upgrade from a build that does not name its clock in the
 // record, at each router that starts, since the record goes on to say that its times may be wrong by as long as streams last.
 func TestRecordOfAnUnknownClockStaysUncertain(t *testing.T) {
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -256,7 +256,7 @@
 // nextVersionRecordAt returns when a part of the record is to be written next, or the zero time.
 func (s *State) nextVersionRecordAt(now time.Time) time.Time {
 	next := s.StreamVersions.ExceptionWrite.nextAt()
-	for _, at := range [...]time.Time{s.nextMixWriteAt(now), s.StreamVersions.UnrecordedWrite.nextAt()} {
+	for _, at := range [...]time.Time{s.nextMixWriteAt(now), s.nextUnrecordedWriteAt()} {
 		if next.IsZero() || !at.IsZero() && at.Before(next) {
 			next = at
 		}
@@ -278,6 +278,20 @@
 	return at
 }
 
+// nextUnrecordedWriteAt returns when this router is to write which streams may be unrecorded, or the zero time. It reads first what
+// others have written.
+func (s *State) nextUnrecordedWriteAt() time.Time {
+	v := &s.StreamVersions
+	at := v.UnrecordedWrite.nextAt()
+	if at.IsZero() || v.Reading.InProgress {
+		return time.Time{}
+	}
+	if v.LoadedAt.IsZero() {
+		return later(at, later(v.Reading.NextAt, v.Reading.RetryTime(maxRecordRetryDelay)))
+	}
+	return at
+}
+
 // mustReadFirst reports whether the record is to be read before the mixes are written: before the first write, and
 // after each gap, so that nothing that others have recorded is lost.
 func (v *StreamVersions) mustReadFirst() bool {
@@ -306,7 +320,11 @@
 		s.tellRecorded()
 		s.writeVersionRecord(PartExceptions, VersionRecord{Exceptions: v.ownExceptions(now)}, now)
 	}
-	if at := v.UnrecordedWrite.nextAt(); !at.IsZero() && !now.Before(at) {
+	if at := s.nextUnrecordedWriteAt(); !at.IsZero() && !now.Before(at) {
+		if v.LoadedAt.IsZero() {
+			s.readVersionRecord(now)
+			return
+		}
 		s.writeVersionRecord(PartUnrecorded, s.unrecordedRecord(now), now)
 	}
 	at := s.nextMixWriteAt(now)
