dtdispatch: a status without features is not of an earlier build in a large fleet

Callers of a fleet of more than 32 routers could get streams of two versions right after its upgrade from a build that records nothing: routers of this build name their features each 6 s there, so that one that has just started took another one of its build for one of, and a missing record for a sign that there has been one version only. The entry in the store names the features, too. Found by reading.

TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier (48 routers) fails before.

Not changed: such a status replaces what the entry says in router_features, the gauge of routers without features and the order of tunnels, for up to 6 s.

--- a/core/dtdispatch/earlierbuildlater_test.go
+++ b/core/dtdispatch/earlierbuildlater_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
 // startEarlierBuild has a router start anew with a build that records nothing.
@@ -57,6 +59,25 @@
 	}
 }
 
+// TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier guards against taking a router that has left its features out of a status for one
+// of a build that records each change.
+func TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier(t *testing.T) {
+	f, names := newLargeFleet(t, 48)
+	name := names[len(names)-1]
+	f.run(2*time.Second, names...)
+	now := f.routers[name].now
+	r := newRouterAt(t, name, f.routers[name].state.Settings.Domain, now, now.UnixMilli())
+	r.step(dtdispatch.ConfigReceived{Config: testConfig(1)})
+	r.state.Settings.IsFirstStart = false
+	f.replace(name, r)
+	f.run(1500*time.Millisecond, names...)
+	f.record = nil
+	r.sendRequest("/stream/x")
+	f.perform(name, append([]dtdispatch.Effect(nil), r.effects...))
+	r.Expect(r.state.StreamVersions.LoadedAt).NotTo(BeZero())
+	r.Expect(r.state.StreamVersions.Unrecorded.UnknownBefore).NotTo(BeZero())
+}
+
 // TestRecordOfAnUnknownClockStaysUncertain guards against refusals long after an upgrade from a build that does not name its clock in the
 // record, at each router that starts, since the record goes on to say that its times may be wrong by as long as streams last.
 func TestRecordOfAnUnknownClockStaysUncertain(t *testing.T) {
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -192,14 +192,16 @@
 }
 
 // hearsEarlierRecorder reports whether routers of an earlier build serve that record each change of versions, and none that records
-// nothing: no record means no change then, as they do not write one for the first version.
+// nothing: no record means no change then, as they do not write one for the first version. Routers of this build leave out their
+// features at times, and name them in the store.
 func (s *State) hearsEarlierRecorder() bool {
 	isHeard := false
-	for _, peer := range s.Peers.ByName {
+	for name, peer := range s.Peers.ByName {
 		if peer.mayRecordNothing() {
 			return false
 		}
-		isHeard = isHeard || peer.KeepsVersions && peer.Features == 0
+		router, isListed := s.Membership.ListedRouters[name]
+		isHeard = isHeard || peer.KeepsVersions && peer.Features == 0 && isListed && router.Features == 0
 	}
 	return isHeard
 }
