dtdispatch: write which streams may be unrecorded where it has lapsed

Callers could get streams of two versions after a kill of all routers beside a build that records nothing, where the store rejects the one that is first by name: that alone was to write up to when streams may be unrecorded, so that the time in the store lapsed after 15 to 30 s. A router that hears such a build and reads that the time has lapsed writes it now. Found in review.

TestUnrecordedStreamsAreLeftToAWriterThatTheStoreRejects fails before: stream-2 goes on at v2 after v1.

Open: without a read, as when no stream is taken up, it still lapses.

--- a/core/dtdispatch/earlierbuildlater_test.go
+++ b/core/dtdispatch/earlierbuildlater_test.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// TestUnrecordedStreamsAreLeftToAWriterThatTheStoreRejects guards against streams of two versions after a kill of all
+// routers, where the one that was to write until when streams may be unrecorded could not.
+func TestUnrecordedStreamsAreLeftToAWriterThatTheStoreRejects(t *testing.T) {
+	f := newStreamsOf(t, noVersions, "", "")
+	f.cores = map[string]float64{"r3": 8} // It writes the mixes.
+	f.run(10*time.Second, f.names...)
+	f.rejected = map[string]bool{"r2": true}
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(60*time.Second, f.names...)
+	f.beginAnywhere(40, "v1", "v2")
+	f.takeUpAt("r3")
+	writes := f.recordWrites
+	f.takeUpAt("r3", "r3")
+	f.run(time.Second, f.names...)
+	f.Expect(f.recordWrites).To(BeNumerically("<=", writes+1), "not at each read")
+	f.rejected = nil
+	f.builds["r1"] = ""
+	f.restart(t, f.names...)
+	f.takeUp() // It fails if one goes on at another version.
+}
+
 // TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier guards against taking a router that has left its features out of a status for one
 // of a build that records each change.
 func TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier(t *testing.T) {
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -218,6 +218,9 @@
 	if !stored.UnknownBefore.IsZero() {
 		v.StoredUnrecorded.UnknownBefore = earlier(stored.UnknownBefore.Add(middle+skew), now)
 	}
+	if v.Unrecorded.Until.After(now) && !v.StoredUnrecorded.Until.After(now) { // The router that is to write it may not reach the store.
+		v.UnrecordedWrite.markDue(now.Add(versionRecordDelay))
+	}
 }
 
 // unrecordedRecord returns what this router knows, for the store.
