dtdispatch: show that a record of before an upgrade was taken back counts as complete (fails)

A test that fails, by itself, for the lead to take or to leave; no mend. All routers are taken back to a build that records nothing, a release is tried at one server and taken back, and the upgrade begins again while a stream lasts: the first router of this build finds the record of before, lists the same only version, takes it for all that has served since, and goes on with a stream of v2 at v1. Callers get streams of two versions.

Seen: go test ./core/dtdispatch -count=1 -run RecordOfBeforeAnUpgradeWasTakenBack: stream-1 goes on at v1 after v2.

Not mended, since the sure way (nothing of before the start is known where a router that records nothing serves, and none that records has served for longer) refuses all streams of one version after a kill of all routers of this build beside one earlier one, which is more likely.

--- a/core/dtdispatch/earlierbuildlater_test.go
+++ b/core/dtdispatch/earlierbuildlater_test.go
@@ -80,6 +80,26 @@
 	f.takeUp() // It fails if one goes on at another version.
 }
 
+// TestRecordOfBeforeAnUpgradeWasTakenBackIsTakenForComplete guards against streams of two versions: only routers that record nothing
+// have served since the record was written, while a release was tried and taken back.
+func TestRecordOfBeforeAnUpgradeWasTakenBackIsTakenForComplete(t *testing.T) {
+	f := newStreamsOf(t, "", "", "")
+	f.run(10*time.Second, f.names...)
+	for _, name := range f.names {
+		f.startEarlierBuild(t, name)
+	}
+	f.run(60*time.Second, f.names...)
+	f.setVersions("v1", "v1", "v1", "v2")
+	f.run(5*time.Second, f.names...)
+	f.beginAnywhere(20, "v2")
+	f.run(time.Second, f.names...)
+	f.setVersions("v1", "v1", "v1", "v1")
+	f.run(time.Second, f.names...)
+	f.builds["r2"] = ""
+	f.restart(t, "r2")
+	f.takeUpAt("r2") // It fails if one goes on at another version.
+}
+
 // TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier guards against taking a router that has left its features out of a status for one
 // of a build that records each change.
 func TestRouterOfALargeFleetTakesOneOfItsOwnBuildForEarlier(t *testing.T) {
