--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -1,6 +1,9 @@
 package dtdispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A router of an earlier build may know no versions: it begins streams anywhere and lists none, so that the version of a
 // stream does not follow from its ID. While such routers serve, a stream is certain only if it is listed, or if there was
@@ -13,8 +16,8 @@
 	unrecordedLead = peerTimeout
 	// maxListLag is how old the list of servers may be by which a router that records nothing begins a stream.
 	maxListLag = 10 * time.Second
-	// maxListedUnrecorded is the number of own exceptions up to which a router lists streams that need no exception otherwise.
-	maxListedUnrecorded = 1024
+	// maxSpareExceptions is the number of streams that all routers list which need no exception otherwise.
+	maxSpareExceptions = maxExceptions / 2
 	// unrecordedListDelay is the delay of writing these; unrecordedListDelayPerRouter is added to it for each router.
 	unrecordedListDelay          = 400 * time.Millisecond
 	unrecordedListDelayPerRouter = 10 * time.Millisecond
@@ -46,19 +49,46 @@
 		peer.ServesSince = now
 	}
 	peer.KeepsVersions = isSame && previous.KeepsVersions && peer.Features == 0 || s.keepsVersions(status, peer.Features)
+	if peer.recordsNothing(now) {
+		s.observeUnrecorded(status.From, peer, now)
+	}
+}
+
+// observeUnrecorded notes that a router which records nothing serves.
+func (s *State) observeUnrecorded(name string, peer *Peer, now time.Time) {
 	v := &s.StreamVersions
-	if !peer.recordsNothing(now) || v.Unrecorded.Until.After(now.Add(unrecordedLead/2)) {
+	if v.Unrecorded.Until.After(now.Add(unrecordedLead / 2)) {
 		return
 	}
-	if !v.Unrecorded.Until.After(now) {
-		s.emit(LogRecord{Event: "streams_unrecorded", Subject: status.From, Detail: peer.Features.String()})
-	}
+	isFirst := !v.Unrecorded.Until.After(now)
 	v.Unrecorded.Until = now.Add(unrecordedLead)
+	if isFirst {
+		s.emit(LogRecord{Event: "streams_unrecorded", Subject: name, Detail: peer.Features.String()})
+		s.listStreamsUnderWay(now)
+	}
 	if s.writesUnrecorded(now) {
 		v.UnrecordedWrite.markDue(now)
 	}
 }
 
+// listStreamsUnderWay lists the streams of this router that began before streams may be unrecorded.
+func (s *State) listStreamsUnderWay(now time.Time) {
+	v := &s.StreamVersions
+	for _, service := range sortedKeys(v.ByService) {
+		if history := v.ByService[service]; len(history.Mixes) > 1 || len(history.Weights()) > 1 {
+			s.recordRecentVersions(service, history, time.Time{}, now)
+		}
+	}
+}
+
+// observeListedRecorder notes that the store lists a router, which may serve although it is not heard from.
+func (s *State) observeListedRecorder(router *Router, now time.Time) {
+	peer := s.Peers.ByName[router.Name]
+	if peer.recordsNothing(now) && !router.Features.Has(FeatureStreamVersions) {
+		s.observeUnrecorded(router.Name, &peer, now)
+	}
+}
+
 // recordsNothing reports whether the router begins streams without recording their versions, as far as is known.
 func (p *Peer) recordsNothing(now time.Time) bool {
 	return p.mayRecordNothing() && now.Sub(p.ServesSince) >= featureGrace
@@ -162,14 +192,16 @@
 }
 
 // hearsEarlierRecorder reports whether routers of an earlier build serve that record each change of versions, and none that records
-// nothing: no record means no change then, as they do not write one for the first version.
+// nothing: no record means no change then, as they do not write one for the first version. Routers of this build leave out their
+// features at times, and name them in the store.
 func (s *State) hearsEarlierRecorder() bool {
 	isHeard := false
-	for _, peer := range s.Peers.ByName {
+	for name, peer := range s.Peers.ByName {
 		if peer.mayRecordNothing() {
 			return false
 		}
-		isHeard = isHeard || peer.KeepsVersions && peer.Features == 0
+		router, isListed := s.Membership.ListedRouters[name]
+		isHeard = isHeard || peer.KeepsVersions && peer.Features == 0 && isListed && router.Features == 0
 	}
 	return isHeard
 }
@@ -186,6 +218,9 @@
 	if !stored.UnknownBefore.IsZero() {
 		v.StoredUnrecorded.UnknownBefore = earlier(stored.UnknownBefore.Add(middle+skew), now)
 	}
+	if v.Unrecorded.Until.After(now) && !v.StoredUnrecorded.Until.After(now) { // The router that is to write it may not reach the store.
+		v.UnrecordedWrite.markDue(now.Add(versionRecordDelay))
+	}
 }
 
 // unrecordedRecord returns what this router knows, for the store.
@@ -195,13 +230,24 @@
 	}}
 }
 
-// countOwn returns the number of exceptions that this router writes.
-func (v *StreamVersions) countOwn() int {
-	n := 0
-	for _, exception := range v.Exceptions {
-		if exception.IsOwn {
-			n++
+// SpareException is an own exception without which others would not be certain of another version.
+type SpareException struct {
+	StreamID string
+	Seq      uint64
+	Until    time.Time // By when the stream has ended.
+}
+
+// mayAddSpare drops the spare exceptions of streams that have ended, and reports whether this router may list another one. All routers
+// together list fewer than they keep, so that no exception that is needed is lost.
+func (s *State) mayAddSpare(now time.Time) bool {
+	v := &s.StreamVersions
+	ended := 0
+	for ; ended < len(v.Spare) && v.Spare[ended].Until.Before(now); ended++ {
+		spare := v.Spare[ended]
+		if known := v.Exceptions[spare.StreamID]; known.IsOwn && known.Seq == spare.Seq {
+			delete(v.Exceptions, spare.StreamID)
 		}
 	}
-	return n
+	v.Spare = slices.Delete(v.Spare, 0, ended)
+	return len(v.Spare) < maxSpareExceptions/s.RouterCount()
 }
