dtrelay: check that the process of a server answers, not only that it is accepted for

CheckServer may ask for the status of a server. Its ServerChecked states whether the process of the named incarnation has answered a request that was sent after the check began; an accept is Connected (Alive before), which proves nothing: the kernel accepts for a process that is ending or stopped, and a proxy for a server that is gone.

A process is known by the start that it names, by its ID if neither list nor answer names a start, or by a connection that is older than the response. What can't be told counts as no answer. Idle connections are asked first, and kept after a clean answer; one that has had a status request lately is not asked again, as a late answer could be taken for the next. Service.StatusPath is the report of servers that run a model, which needs no slot, else the health path.

Nothing asks for a status yet: what callers see does not change.

--- a/core/dtdispatch/config.go
+++ b/core/dtdispatch/config.go
@@ -113,6 +113,7 @@
 	Name           string
 	MaxConnections int     // Maximum number of connections to one server from all routers together.
 	ColdRate       float64 // Requests per second that a cold server can handle.
+	StatusPath     string  // Path at which each server states its identity without running a request, or "".
 }
 
 // Account is the configuration of a client account.
--- a/core/dtdispatch/crash_test.go
+++ b/core/dtdispatch/crash_test.go
@@ -44,7 +44,7 @@
 			n := r.sendRequest("/once/x", sameDigest)
 			server := r.onlySend().Server
 			r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost)
-			r.step(dtdispatch.ServerChecked{Server: server, Alive: true})
+			r.step(dtdispatch.ServerChecked{Server: server, Connected: true})
 		}
 		r.sendRequest("/once/x", sameDigest)
 		r.onlySend()
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -85,13 +85,18 @@
 // AbortResponse closes a response that has started and can't be completed.
 type AbortResponse struct{ Number RequestNumber }
 
-// CheckServer checks whether a server accepts connections; ServerChecked follows.
+// CheckServer checks whether a server accepts connections and, with a StatusPath, whether the process of that incarnation answers a
+// request that is sent after the check has begun; ServerChecked follows.
 type CheckServer struct {
-	Server  ServerID
-	Start   int64         // Of its incarnation, in Unix milliseconds.
-	Number  RequestNumber // Whose response has ended with its connection; zero if the check is not for a ResponseClosed.
-	Address string
-	Via     []Via // As in SendRequest.
+	Server       ServerID
+	Start        int64         // Of its incarnation, in Unix milliseconds; zero if that is not known.
+	Number       RequestNumber // Whose response has ended with its connection; zero if the check is not for a ResponseClosed.
+	Address      string
+	Via          []Via     // As in SendRequest.
+	StatusPath   string    // As in Service; "" for a check that asks for nothing.
+	KnownSince   time.Time // A connection that was opened no later than this belongs to the process of that incarnation.
+	Deadline     time.Time // By which the answer must have arrived.
+	MaxIdleConns int       // As in SendRequest.
 }
 
 // PublishConfig activates a configuration in the parts of the router outside the reducer.
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -153,13 +153,17 @@
 	ConnectedAt time.Time // Zero if the server could not be connected to.
 }
 
-// ServerChecked reports whether a server accepted a connection.
+// ServerChecked reports what a CheckServer has shown of a server.
 type ServerChecked struct {
-	Server  ServerID
-	Number  RequestNumber // As in CheckServer.
-	Alive   bool
-	Refused bool   // No process listens at its address.
-	Via     string // Router by way of which it was checked, or ""; if CheckServer names routers, "" states that none has checked it.
+	Server    ServerID
+	Number    RequestNumber // As in CheckServer.
+	Connected bool          // A connection was open or has been accepted, which the kernel also does for a process that is ending or stopped.
+	Answered  bool          // The process of the incarnation has answered the status request.
+	Replaced  bool          // Another incarnation or server has answered it.
+	Lost      bool          // A new connection has ended without an answer.
+	Refused   bool          // No process listens at its address.
+	Via       string        // Router by way of which it was checked, or ""; if CheckServer names routers, "" states that none has checked it.
+	Detail    string        // Why there is no answer, for the log.
 }
 
 // ConfigReceived delivers a decoded configuration.
--- a/core/dtdispatch/reach.go
+++ b/core/dtdispatch/reach.go
@@ -329,7 +329,7 @@
 	}
 	c := s.reach(server.Service)
 	wasChecking := c.Checking[server.ID]
-	if ev.Alive {
+	if ev.Connected {
 		s.recordConnection(server.Service, now, now)
 	} else {
 		s.recordConnectFailure(server, c.Checked[server.ID], now)
@@ -337,7 +337,7 @@
 	if !wasChecking {
 		return false
 	}
-	for _, id := range c.EndCheck(server.ID, ev.Alive) {
+	for _, id := range c.EndCheck(server.ID, ev.Connected) {
 		if s.Roster.Servers[id] != nil {
 			s.serverHealth(id).RecordUnreachable(now)
 			s.recordDown(id, now)
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -289,7 +289,7 @@
 	}
 	outcome := "crashed"
 	switch {
-	case ev.Alive:
+	case ev.Connected:
 		outcome = "alive"
 	case ev.Via == "" && s.Tunnels.Suspected[ev.Server]:
 		outcome = "unknown" // No router could check the server.
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -17,10 +17,10 @@
 		checked  dtdispatch.ServerChecked
 		want     dtdispatch.Effect
 	}{
-		"the server lives":                     {false, dtdispatch.ServerChecked{Alive: true}, dtdispatch.CompleteResponse{Number: 1}},
+		"the server lives":                     {false, dtdispatch.ServerChecked{Connected: true}, dtdispatch.CompleteResponse{Number: 1}},
 		"the server does not accept in time":   {false, dtdispatch.ServerChecked{}, dtdispatch.CompleteResponse{Number: 1}},
 		"the server is gone":                   {false, dtdispatch.ServerChecked{Refused: true}, dtdispatch.EndAttempt{Number: 1, ServerGone: true}},
-		"the router has just had a long pause": {true, dtdispatch.ServerChecked{Alive: true}, dtdispatch.EndAttempt{Number: 1}},
+		"the router has just had a long pause": {true, dtdispatch.ServerChecked{Connected: true}, dtdispatch.EndAttempt{Number: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(t, 2)
@@ -87,7 +87,7 @@
 				if tc.beforeCheck != nil {
 					tc.beforeCheck(r)
 				}
-				effects = r.step(dtdispatch.ServerChecked{Server: check.Server, Number: check.Number, Alive: true})
+				effects = r.step(dtdispatch.ServerChecked{Server: check.Server, Number: check.Number, Connected: true})
 			}
 			r.Expect(effects).To(ContainElement(tc.want))
 		})
--- a/core/dtdispatch/streamoutage_test.go
+++ b/core/dtdispatch/streamoutage_test.go
@@ -28,7 +28,7 @@
 	}
 	for server, n := range lost {
 		f.perform(name, append([]dtdispatch.Effect(nil), r.step(dtdispatch.AttemptEnded{Number: n, Attempt: 1, Outcome: dtdispatch.OutcomeConnectionLost})...))
-		r.step(dtdispatch.ServerChecked{Server: server, Alive: true})
+		r.step(dtdispatch.ServerChecked{Server: server, Connected: true})
 		if request := r.state.Requests[n]; request != nil {
 			r.endAttempt(n, request.Attempt, dtdispatch.OutcomeCallerGone)
 		}
--- a/core/dtdispatch/tunnel.go
+++ b/core/dtdispatch/tunnel.go
@@ -315,7 +315,7 @@
 // another reason than a crash, and returns false if not.
 func (s *State) recheckSuspect(ev ServerChecked, now time.Time) bool {
 	server := s.Roster.Servers[ev.Server]
-	if server == nil || ev.Alive || s.Tunnels.Suspected[ev.Server] || !s.isDoubtful(server) {
+	if server == nil || ev.Connected || s.Tunnels.Suspected[ev.Server] || !s.isDoubtful(server) {
 		return false
 	}
 	via := s.rankVia(server, now)
--- a/dottereltack/dtnode/harness_test.go
+++ b/dottereltack/dtnode/harness_test.go
@@ -38,6 +38,14 @@
 	}
 }
 
+func (dialect) StatusFields(id dtdispatch.ServerID) []dtrelay.HeaderField {
+	return []dtrelay.HeaderField{{Name: "X-To", Value: string(id)}}
+}
+
+func (dialect) ParseStatus(h http.Header, _ []byte) dtrelay.ServerIdentity {
+	return dtrelay.ServerIdentity{Server: dtdispatch.ServerID(h.Get("X-Server"))}
+}
+
 func (dialect) RefusalFields(id string, retryAfter time.Duration) []dtrelay.HeaderField {
 	return []dtrelay.HeaderField{{Name: "X-Id", Value: id}, {Name: "Retry-After", Value: fmt.Sprint(retryAfter.Seconds())}}
 }
--- a/dottereltack/dtrelay/dialect.go
+++ b/dottereltack/dtrelay/dialect.go
@@ -31,6 +31,12 @@
 	IdleTimeout time.Duration // How long the server keeps an idle connection; zero if unspecified.
 }
 
+// ServerIdentity is what the answer to a status request states about the process that has sent it.
+type ServerIdentity struct {
+	Server dtdispatch.ServerID // Or "" if it names none.
+	Start  int64               // Of its incarnation, in Unix milliseconds; zero if it names none.
+}
+
 // Dialect translates between header fields and their meaning for routing.
 type Dialect interface {
 	// ParseRequest reads the head of a caller's request.
@@ -40,6 +46,10 @@
 	RequestFields(h *RequestHead, send *dtdispatch.SendRequest, remaining time.Duration, lastEventID string) []HeaderField
 	// ParseResponse reads the header of a server's response.
 	ParseResponse(h http.Header) ResponseInfo
+	// StatusFields returns the header fields of a status request to a server, which any other server declines.
+	StatusFields(id dtdispatch.ServerID) []HeaderField
+	// ParseStatus reads the identity of a server from its answer to a status request.
+	ParseStatus(h http.Header, body []byte) ServerIdentity
 	// RefusalFields returns the header fields of a refusal of the request with that ID.
 	RefusalFields(id string, retryAfter time.Duration) []HeaderField
 }
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,6 +137,28 @@
 	return nil, hasClosed
 }
 
+// takeForStatus removes and returns the oldest idle connection that a status request may use, or nil. A late answer to a
+// status request before could not be told from the next, so that none is sent on a connection that has had one lately.
+func (p *idlePool) takeForStatus(e *dtdispatch.CheckServer, now time.Time) *serverConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[e.Address]
+	oldest := -1
+	for i, c := range list {
+		isUsable := now.Sub(c.lastUsed) < c.idleTimeout && !c.requestIDs.contains("") && (len(e.Via) == 0 || c.via == e.Via[0].Router)
+		if isUsable && (oldest < 0 || c.openedAt.Before(list[oldest].openedAt)) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return nil
+	}
+	c := list[oldest]
+	p.idle[e.Address] = slices.Delete(list, oldest, oldest+1)
+	c.reused, c.replaces, c.failedVia = true, false, nil
+	return c
+}
+
 // connect returns a new connection.
 func (p *idlePool) connect(ctx context.Context, send *dtdispatch.SendRequest) (*serverConn, error) {
 	c, failedVia, err := p.connector.Connect(ctx, send)
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -42,6 +40,8 @@
 	callers            map[*callerConn]struct{}
 	closed             bool
 	wg                 conc.WaitGroup
+	ctx                context.Context //nolint:containedctx // Of checks of servers that are not for a request; canceled by Close.
+	cancel             context.CancelFunc
 }
 
 // Option configures a Relay.
@@ -62,6 +62,7 @@
 		dialect: d, events: events, direct: newDirectConnector(), listener: listener,
 		exchanges: map[dtdispatch.RequestNumber]*exchange{}, callers: map[*callerConn]struct{}{},
 	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.pool, r.tunnels = newIdlePool(r.direct), newIdlePool(&tunnelConnector{})
 	for _, option := range options {
 		option(r)
@@ -154,6 +155,7 @@
 		_ = c.Close()
 	}
 	r.mu.Unlock()
+	r.cancel()
 	r.pool.close()
 	r.tunnels.close()
 	r.wg.Wait()
@@ -179,39 +181,6 @@
 	return r.pool
 }
 
-// Check reports whether a server accepts a connection within connectCheckTimeout, or its host refuses it.
-func (r *Relay) Check(e *dtdispatch.CheckServer) dtdispatch.ServerChecked {
-	if len(e.Via) > 0 {
-		return r.checkVia(e)
-	}
-	checked := dtdispatch.ServerChecked{Server: e.Server, Number: e.Number}
-	c, err := r.direct.dial(context.Background(), e.Address, connectCheckTimeout)
-	if err != nil {
-		checked.Refused = errors.Is(err, syscall.ECONNREFUSED)
-		return checked
-	}
-	_ = c.Close()
-	checked.Alive = true
-	return checked
-}
-
-// checkVia checks a server by way of another router.
-func (r *Relay) checkVia(e *dtdispatch.CheckServer) dtdispatch.ServerChecked {
-	checked := dtdispatch.ServerChecked{Server: e.Server, Number: e.Number}
-	send := &dtdispatch.SendRequest{
-		Server: e.Server, Start: e.Start, Address: e.Address, Via: e.Via, ConnectTimeout: connectCheckTimeout, Deadline: time.Now().Add(viaCheckTimeout),
-	}
-	c, _, err := r.tunnels.connector.Connect(context.Background(), send)
-	if err == nil {
-		_ = c.Close()
-		checked.Alive, checked.Via = true, dttunnel.Via(c)
-	}
-	if tunnelErr := (*dttunnel.OpenError)(nil); errors.As(err, &tunnelErr) {
-		checked.Refused, checked.Via = tunnelErr.Refused, tunnelErr.Via
-	}
-	return checked
-}
-
 // acceptLoop accepts connections of callers until the listener is closed.
 func (r *Relay) acceptLoop() {
 	const retryDelay = 20 * time.Millisecond
--- a/dottereltack/dtrelay/tunnel_test.go
+++ b/dottereltack/dtrelay/tunnel_test.go
@@ -34,6 +34,15 @@
 	return ResponseInfo{ID: h.Get("X-Id"), Signed: true}
 }
 
+func (tunnelDialect) StatusFields(id dtdispatch.ServerID) []HeaderField {
+	return []HeaderField{{Name: "X-Expect", Value: string(id)}}
+}
+
+func (tunnelDialect) ParseStatus(h http.Header, body []byte) ServerIdentity {
+	start, _ := strconv.ParseInt(string(body), 10, 64)
+	return ServerIdentity{Server: dtdispatch.ServerID(h.Get("X-Server")), Start: start}
+}
+
 func (tunnelDialect) RefusalFields(string, time.Duration) []HeaderField { return nil }
 
 // tunnelReducer sends each request by way of the routers of Via, opens tunnels to Address and keeps how attempts end.
@@ -399,7 +408,7 @@
 func TestServerIsCheckedByWayOfAnotherRouter(t *testing.T) {
 	p := newTunnelPlay(t, false, true, shortResponse)
 	checked := p.relay.Check(&dtdispatch.CheckServer{Server: "s1", Address: p.reducer.address, Via: p.reducer.via})
-	p.Expect(checked).To(Equal(dtdispatch.ServerChecked{Server: "s1", Alive: true, Via: "r2"}))
+	p.Expect(checked).To(Equal(dtdispatch.ServerChecked{Server: "s1", Connected: true, Via: "r2"}))
 	p.Expect(p.relay.Check(&dtdispatch.CheckServer{Server: "s1", Address: p.reducer.address}).Via).To(BeEmpty())
 }
 
