dtdispatch: log what is known of the end of each response that ends with its connection

A response that had neither a length nor chunks left no line but `served`, whatever the check of its server had shown, so that logs could not tell a stream that was taken for complete from one that was.

response_end says what the check has shown, how long it took, the last event that had reached the caller and the router between; dottereltack_response_ends_total counts them. No decision changes: `accepted` and `unanswered` count as complete, as before.

TestEndOfAResponseLeavesNoTrace finds no such line in the code before.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -161,6 +161,7 @@
 	Status        int    // HTTP status.
 	Attempt       int
 	Elapsed       time.Duration // Time since the request arrived.
+	Waited        time.Duration // For the result of a check of the server.
 	Kind          string        // Kind of the route: "once", "repeatable" or "stream"; or of a message between routers.
 	Route         string
 	Account       string
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -112,9 +112,10 @@
 // ResponseClosed reports that a response whose end is not marked has ended with its connection; CompleteResponse or
 // EndAttempt follows.
 type ResponseClosed struct {
-	Number  RequestNumber
-	Attempt int
-	Via     string // Router by way of which the connection was opened, or "".
+	Number    RequestNumber
+	Attempt   int
+	Via       string // Router by way of which the connection was opened, or "".
+	LastEvent string // As in AttemptEnded.
 }
 
 // AttemptEnded reports how an attempt ended.
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -64,6 +64,7 @@
 	MayHaveRun       bool       // An attempt may have been executed.
 	HasServerFailure bool       // The relay has an error response of a server to forward.
 	ResponseStarted  bool       // Part of the response has reached the caller.
+	ClosedAt         time.Time  // When the end of a response was read that has ended with its connection.
 	Framing          Framing    // Of the response to the last attempt that has ended.
 	LastEvent        string     // ID of the last event that had reached the caller then.
 
@@ -281,7 +282,7 @@
 // connections.
 func (s *State) handleServerChecked(ev ServerChecked, now time.Time) {
 	if ev.Number != 0 {
-		s.endClosedResponse(ev)
+		s.endClosedResponse(ev, now)
 		return
 	}
 	if s.observeCheck(ev, now) || s.recheckSuspect(ev, now) {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -140,7 +140,7 @@
 	case AttemptSilent:
 		s.handleAttemptSilent(ev, now)
 	case ResponseClosed:
-		s.handleResponseClosed(ev)
+		s.handleResponseClosed(ev, now)
 	case AttemptEnded:
 		s.handleAttemptEnded(ev, now)
 	case TunnelRequested, TunnelDialed:
--- a/dottereltack/dtmeter/meter.go
+++ b/dottereltack/dtmeter/meter.go
@@ -44,6 +44,11 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_attempts_failed_total{outcome=%q}`, outcome)).Inc()
 }
 
+// CountResponseEnd counts a response that has ended with its connection by what was known of its end.
+func (m *Meter) CountResponseEnd(outcome string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_response_ends_total{outcome=%q}`, outcome)).Inc()
+}
+
 // CountRetry counts a retry that the retry budget has allowed, or refused, by outcome.
 func (m *Meter) CountRetry(outcome string) {
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_retries_total{outcome=%q}`, outcome)).Inc()
--- a/dottereltack/dtnode/closedresponse_test.go
+++ b/dottereltack/dtnode/closedresponse_test.go
@@ -1,6 +1,7 @@
 package dtnode_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -66,3 +67,22 @@
 		})
 	}
 }
+
+// TestEndOfAResponseLeavesNoTrace guards against a response that has ended with its connection and looks complete, or cut,
+// without a line in the log that says why.
+func TestEndOfAResponseLeavesNoTrace(t *testing.T) {
+	logs := &logBuffer{}
+	n := newLoggingNode(t, logs, newServer(t, func(id string, _ *http.Request, c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nX-Signed: 1\r\n\r\n"+event(1)+event(2))
+		_ = c.Close()
+	}))
+	c := n.dial()
+	c.send("/live/x", "q", "")
+	_, err := c.readResponse()
+	n.Expect(err).NotTo(HaveOccurred())
+	n.Eventually(func() int { return logs.count("step=response_end request=q peer=s0 outcome=accepted") }, "1s").Should(Equal(1))
+	n.Eventually(func() int { return logs.count("framing=close last_event=2") }, "1s").Should(Equal(2), "in that line, and at the end of the request")
+	var metrics bytes.Buffer
+	n.Meter.Write(&metrics)
+	n.Expect(metrics.String()).To(ContainSubstring(`dottereltack_response_ends_total{outcome="accepted"} 1`))
+}
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -69,6 +69,8 @@
 		n.Meter.ObserveRequestDuration(e.Kind, e.Elapsed)
 	case "attempt":
 		n.Meter.CountFailedAttempt(e.Outcome)
+	case "response_end":
+		n.Meter.CountResponseEnd(e.Outcome)
 	case "retry":
 		n.Meter.CountRetry(e.Outcome)
 	case "stream_recorded", "stream_told":
@@ -111,6 +113,7 @@
 	add("status", e.Status, e.Status != 0)
 	add("attempt", e.Attempt, e.Attempt != 0)
 	add("ms", e.Elapsed.Milliseconds(), e.RequestID != "" || e.Event == "paused" || e.Event == "servers_reachable" || e.Event == "router_clock" || e.Event == "version_record" && e.Elapsed > 0 || e.Event == "stream_versions" && e.Elapsed > 0)
+	add("check_ms", e.Waited.Milliseconds(), e.Event == "response_end")
 	add("kind", e.Kind, e.Kind != "")
 	add("route", e.Route, e.Route != "")
 	add("account", e.Account, e.Account != "")
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -317,7 +317,11 @@
 	if framingOf(a.resp) != dtdispatch.FramingClose {
 		return true
 	}
-	a.exchange.relay.events.Post(dtdispatch.ResponseClosed{Number: a.send.Number, Attempt: a.send.Attempt, Via: a.result.Via})
+	closed := dtdispatch.ResponseClosed{Number: a.send.Number, Attempt: a.send.Attempt, Via: a.result.Via}
+	if a.send.Streaming {
+		closed.LastEvent = a.exchange.lastEventID
+	}
+	a.exchange.relay.events.Post(closed)
 	select {
 	case e := <-a.exchange.effects:
 		if _, isComplete := e.(dtdispatch.CompleteResponse); isComplete {
