dtdispatch: take a response that ends with its connection for complete only if its server answers

Cause: such a response ends with its connection, which the kernel closes in the same way for a process that is killed. One connect to the server followed, and an accept counted as proof that the process lives. The kernel accepts for a process that is ending or stopped, and a proxy or a parent for one that is gone. A server that did not accept in time counted as alive, too.

Now the server is sent a status request after the end was read, and only an answer of the process of that incarnation is proof: a kill ends all threads of a process before any of its descriptors is closed, so that a process whose kill has caused the end can't answer. What is in doubt is cut: a resumable stream goes on at its last event, a request that may run again is repeated. The wait ends with the answer, the end of the connection, or as for the next event or the head of a response. A server that ends a connection instead of answering, or is replaced, counts as lost, and its crash is looked into.

Tests that were wrong: the first two took an accept, or none in time, for proof that a response is complete. The same cases now expect the end as cut, and a complete response only after an answer.

Price: one status request for each such response, over an idle connection if there is one, and the time of its answer before the last byte.

--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -116,6 +116,8 @@
 	Attempt   int
 	Via       string // Router by way of which the connection was opened, or "".
 	LastEvent string // As in AttemptEnded.
+
+	ConnectedAt time.Time // When the connection was opened.
 }
 
 // AttemptEnded reports how an attempt ended.
--- a/core/dtdispatch/networkharness_test.go
+++ b/core/dtdispatch/networkharness_test.go
@@ -256,7 +256,7 @@
 	case n.cut[from] == cutRefused || n.gone[check.Server]:
 		checked.Refused = true
 	default:
-		checked.Connected = true
+		checked.Connected, checked.Answered = true, check.StatusPath != ""
 	}
 	n.plan(name, delay, checked)
 }
--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -6,16 +6,18 @@
 )
 
 // A response without a length and without chunks ends with its connection, which the kernel closes in the same way if
-// the server is killed. It is complete unless no process listens at the address of the server any more; one that has
-// too many connections may not accept another in time. A tunnel ends in the same way with the router that has opened it,
-// which is therefore the one to check the server.
+// the server is killed. It is complete only if the process that has sent it answers a request that is sent after the end was
+// read: a kill ends all threads of a process before its kernel closes any connection. An accept proves nothing, since the
+// kernel accepts for a process that is ending or stopped, and a proxy for a server that is gone. What is in doubt is not
+// complete. A tunnel ends in the same way with the router that has opened it, so that the answer has to come by way of it.
 
-// What is known of the end of such a response, for the log and the metrics.
+// What has proved the end of such a response, or why nothing has, for the log and the metrics.
 const (
-	endAccepted   = "accepted"   // The server has accepted a connection.
-	endUnanswered = "unanswered" // It has not, or no router could check it.
+	endProved     = "proved"     // The process of the server has answered.
+	endUnanswered = "unanswered" // It has not, or no router could ask it.
+	endLost       = "lost"       // It has ended a connection without an answer.
 	endRefused    = "refused"    // No process listens at its address.
-	endReplaced   = "replaced"   // Another process may listen there.
+	endReplaced   = "replaced"   // Another process listens there, or may.
 	endPaused     = "paused"     // The router stood still, so that the end may be old.
 )
 
@@ -38,7 +40,19 @@
 		s.emit(EndAttempt{Number: ev.Number})
 		return
 	}
-	s.emit(CheckServer{Server: r.Server, Start: r.ServerStart, Number: r.Number, Address: r.Placement.Server.Address, Via: via})
+	s.emit(CheckServer{
+		Server: r.Server, Start: r.ServerStart, Number: r.Number, Address: r.Placement.Server.Address, Via: via,
+		StatusPath: s.Config.Services[r.Service].StatusPath, KnownSince: later(r.SentAt, ev.ConnectedAt), Deadline: s.statusDeadline(r, now), MaxIdleConns: s.maxIdleConns(r),
+	})
+}
+
+// statusDeadline returns until when the server of a response may take to answer: as long as for the next event, or for
+// the head of a response.
+func (s *State) statusDeadline(r *Request, now time.Time) time.Time {
+	if timeout := s.streamIdleTimeout(r); timeout > 0 {
+		return earlier(now.Add(timeout), r.Deadline)
+	}
+	return s.headerDeadline(r, now)
 }
 
 // endClosedResponse applies the result of that check. If the server is gone, AttemptEnded follows and has its crash
@@ -48,23 +62,31 @@
 	if r == nil {
 		return
 	}
-	outcome := s.doubtEnd(r)
-	switch {
-	case outcome != "":
-	case ev.Refused:
-		outcome = endRefused
-	case ev.Connected:
-		outcome = endAccepted
-	default:
-		outcome = endUnanswered
-	}
+	outcome := s.endOutcome(r, &ev)
 	s.recordEnd(r, outcome, ev.Detail, now)
-	switch {
-	case ev.Refused || s.mayBeReplaced(r) || r.isTunneled() && ev.Via == "":
-		s.emit(EndAttempt{Number: ev.Number, ServerGone: ev.Refused})
-	default:
+	if outcome == endProved {
 		s.emit(CompleteResponse{Number: ev.Number})
+		return
+	}
+	s.emit(EndAttempt{Number: ev.Number, ServerGone: ev.Refused || ev.Lost || ev.Replaced})
+}
+
+// endOutcome returns what a check of the server of a response has shown of its end.
+func (s *State) endOutcome(r *Request, ev *ServerChecked) string {
+	doubt := s.doubtEnd(r)
+	switch {
+	case doubt != "":
+		return doubt
+	case ev.Refused:
+		return endRefused
+	case ev.Replaced:
+		return endReplaced
+	case ev.Lost:
+		return endLost
+	case ev.Answered && ev.Via == r.LastVia:
+		return endProved
 	}
+	return endUnanswered
 }
 
 // recordEnd logs what has proved a response complete that has ended with its connection, or why nothing has.
@@ -86,12 +108,9 @@
 	return ""
 }
 
-// mayBeReplaced reports whether another process may listen at the address of the server of the current attempt, as after a
-// pause of this router, or does by the list. The end of a response is read late if its caller reads slowly.
+// mayBeReplaced reports whether another process listens at the address of the server of the current attempt by the list. The
+// end of a response is read late if its caller reads slowly.
 func (s *State) mayBeReplaced(r *Request) bool {
-	if !s.Resume.ResumedAt.IsZero() {
-		return true
-	}
 	servedAt := later(r.SentAt, r.ConnectedAt)
 	for _, server := range s.Roster.Servers {
 		isOther := server.ID != r.Server || server.Start != r.ServerStart
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -9,18 +9,24 @@
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
-// TestResponseOfAServerThatIsGoneLooksComplete covers the end of a response that ends with its connection: whether it is
-// complete depends on whether its server still accepts connections, which says nothing after a pause of the router.
+// TestResponseOfAServerThatIsGoneLooksComplete covers the end of a response that ends with its connection: it is complete only
+// if the process of its server has answered since. The kernel accepts connections for a process that is killed or stopped,
+// a proxy does for one that is gone, and after a pause of the router the end may be old.
 func TestResponseOfAServerThatIsGoneLooksComplete(t *testing.T) {
 	for name, tc := range map[string]struct {
-		isPaused bool
-		checked  dtdispatch.ServerChecked
-		want     dtdispatch.Effect
+		isPaused       bool
+		checked        dtdispatch.ServerChecked
+		want           dtdispatch.Effect
+		connectedAfter time.Duration // Since the request was sent; negative if it was sent on a connection that had been idle.
 	}{
-		"the server lives":                     {false, dtdispatch.ServerChecked{Connected: true}, dtdispatch.CompleteResponse{Number: 1}},
-		"the server does not accept in time":   {false, dtdispatch.ServerChecked{}, dtdispatch.CompleteResponse{Number: 1}},
-		"the server is gone":                   {false, dtdispatch.ServerChecked{Refused: true}, dtdispatch.EndAttempt{Number: 1, ServerGone: true}},
-		"the router has just had a long pause": {true, dtdispatch.ServerChecked{Connected: true}, dtdispatch.EndAttempt{Number: 1}},
+		"the server answers":                   {false, dtdispatch.ServerChecked{Connected: true, Answered: true}, dtdispatch.CompleteResponse{Number: 1}, -time.Second},
+		"a connection is accepted":             {false, dtdispatch.ServerChecked{Connected: true}, dtdispatch.EndAttempt{Number: 1}, 50 * time.Millisecond},
+		"the server does not accept in time":   {false, dtdispatch.ServerChecked{}, dtdispatch.EndAttempt{Number: 1}, 0},
+		"the server ends before it answers":    {false, dtdispatch.ServerChecked{Connected: true, Lost: true}, dtdispatch.EndAttempt{Number: 1, ServerGone: true}, 0},
+		"another server answers":               {false, dtdispatch.ServerChecked{Connected: true, Replaced: true}, dtdispatch.EndAttempt{Number: 1, ServerGone: true}, 0},
+		"another router has reached it":        {false, dtdispatch.ServerChecked{Connected: true, Answered: true, Via: "r2"}, dtdispatch.EndAttempt{Number: 1}, 0},
+		"the server is gone":                   {false, dtdispatch.ServerChecked{Refused: true}, dtdispatch.EndAttempt{Number: 1, ServerGone: true}, 0},
+		"the router has just had a long pause": {true, dtdispatch.ServerChecked{Connected: true, Answered: true}, dtdispatch.EndAttempt{Number: 1}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(t, 2)
@@ -30,9 +36,14 @@
 			if tc.isPaused {
 				r.step(dtdispatch.Paused{Gap: 3 * time.Second})
 			}
-			effects := r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt})
+			sentAt := r.now
+			r.now = r.now.Add(time.Second)
+			effects := r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt, ConnectedAt: sentAt.Add(tc.connectedAfter)})
 			if !tc.isPaused {
-				r.Expect(effects).To(ContainElement(dtdispatch.CheckServer{Server: send.Server, Start: send.Start, Number: send.Number, Address: send.Address}))
+				r.Expect(effects).To(ContainElement(dtdispatch.CheckServer{
+					Server: send.Server, Start: send.Start, Number: send.Number, Address: send.Address, StatusPath: "/status", KnownSince: sentAt.Add(max(tc.connectedAfter, 0)),
+					Deadline: r.now.Add(send.StreamIdleTimeout), MaxIdleConns: send.MaxIdleConns,
+				}))
 				tc.checked.Server, tc.checked.Number = send.Server, send.Number
 				effects = r.step(tc.checked)
 			}
@@ -87,7 +98,7 @@
 				if tc.beforeCheck != nil {
 					tc.beforeCheck(r)
 				}
-				effects = r.step(dtdispatch.ServerChecked{Server: check.Server, Number: check.Number, Connected: true})
+				effects = r.step(dtdispatch.ServerChecked{Server: check.Server, Number: check.Number, Connected: true, Answered: true})
 			}
 			r.Expect(effects).To(ContainElement(tc.want))
 		})
@@ -113,3 +124,48 @@
 	r.Expect(health.IsAvoided(r.now)).To(BeFalse())
 	r.Expect(health.LostAt).To(BeZero())
 }
+
+// TestServerIsWaitedForBeyondItsTolerance guards against a caller who waits for the end of a response longer than for any event
+// of it, or for the rest of a body, as its server does not answer.
+func TestServerIsWaitedForBeyondItsTolerance(t *testing.T) {
+	const elapsed = 100 * time.Millisecond
+	for path, deadlineOf := range map[string]func(*router, dtdispatch.SendRequest) time.Time{
+		"/stream/x": func(r *router, send dtdispatch.SendRequest) time.Time { return r.now.Add(send.StreamIdleTimeout) },
+		"/live/x":   func(_ *router, send dtdispatch.SendRequest) time.Time { return send.Deadline },
+		"/read/x":   func(_ *router, send dtdispatch.SendRequest) time.Time { return send.HeaderDeadline.Add(elapsed) },
+		"/once/x":   func(_ *router, send dtdispatch.SendRequest) time.Time { return send.Deadline },
+	} {
+		t.Run(path, func(t *testing.T) {
+			r := newRouter(t, 1)
+			r.sendRequest(path)
+			send := r.onlySend()
+			r.now = r.now.Add(elapsed)
+			checks := effectsOf[dtdispatch.CheckServer](r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt}))
+			r.Expect(checks).To(HaveLen(1))
+			r.Expect(checks[0].Deadline).To(Equal(deadlineOf(r, send)))
+		})
+	}
+}
+
+// TestEndIsLoggedAsWhatItWas guards against a cut that can't be told from a whole response in the log.
+func TestEndIsLoggedAsWhatItWas(t *testing.T) {
+	for outcome, checked := range map[string]dtdispatch.ServerChecked{
+		"proved":     {Connected: true, Answered: true},
+		"unanswered": {Connected: true},
+		"lost":       {Connected: true, Lost: true},
+		"refused":    {Refused: true},
+		"replaced":   {Connected: true, Replaced: true},
+	} {
+		t.Run(outcome, func(t *testing.T) {
+			r := newRouter(t, 1)
+			r.sendRequest("/stream/x")
+			send := r.onlySend()
+			r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt, LastEvent: "9"})
+			r.now = r.now.Add(20 * time.Millisecond)
+			checked.Server, checked.Number, checked.Detail = send.Server, send.Number, "why"
+			records := logRecords(r.step(checked), "response_end")
+			r.Expect(records).To(HaveLen(1))
+			r.Expect([]any{records[0].Outcome, records[0].Detail, records[0].LastEvent, records[0].Waited}).To(Equal([]any{outcome, "why", "9", 20 * time.Millisecond}))
+		})
+	}
+}
--- a/core/dtdispatch/tunnel_test.go
+++ b/core/dtdispatch/tunnel_test.go
@@ -370,13 +370,14 @@
 		checked  dtdispatch.ServerChecked
 		complete bool
 	}{
-		"the router lives, and the server":      {"r2", dtdispatch.ServerChecked{Via: "r2", Connected: true}, true},
-		"the server is busy":                    {"r2", dtdispatch.ServerChecked{Via: "r2"}, true},
-		"the server is gone":                    {"r2", dtdispatch.ServerChecked{Via: "r2", Refused: true}, false},
-		"the router is gone":                    {"r2", dtdispatch.ServerChecked{}, false},
-		"it is not known which router it was":   {"", dtdispatch.ServerChecked{Connected: true}, false},
-		"it was a router that was not asked":    {"r9", dtdispatch.ServerChecked{Connected: true}, false},
-		"the server was reached by another way": {"r2", dtdispatch.ServerChecked{Connected: true}, false},
+		"the router lives, and the server":       {"r2", dtdispatch.ServerChecked{Via: "r2", Connected: true, Answered: true}, true},
+		"the server is busy":                     {"r2", dtdispatch.ServerChecked{Via: "r2"}, false},
+		"the router has connected to the server": {"r2", dtdispatch.ServerChecked{Via: "r2", Connected: true}, false},
+		"the server is gone":                     {"r2", dtdispatch.ServerChecked{Via: "r2", Refused: true}, false},
+		"the router is gone":                     {"r2", dtdispatch.ServerChecked{}, false},
+		"it is not known which router it was":    {"", dtdispatch.ServerChecked{Connected: true, Answered: true}, false},
+		"it was a router that was not asked":     {"r9", dtdispatch.ServerChecked{Connected: true, Answered: true}, false},
+		"the server was reached by another way":  {"r2", dtdispatch.ServerChecked{Connected: true, Answered: true}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, r := newCutOff(t, 6, "r1", "r2", "r3")
--- a/dottereltack/dtnode/closedresponse_test.go
+++ b/dottereltack/dtnode/closedresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,7 +13,8 @@
 )
 
 // TestResponseOfAKilledServerLooksComplete has a server that is killed after a whole event, or within a body, of a response
-// that ends with its connection: the kernel closes both in the same way as at the end of a complete response.
+// that ends with its connection: the kernel closes both in the same way as at the end of a complete response, and may accept
+// connections for a while.
 func TestResponseOfAKilledServerLooksComplete(t *testing.T) {
 	streamOf := func(events string) func(string) string {
 		return func(id string) string {
@@ -39,32 +41,35 @@
 		"a body of a request that runs once":             {"/once/x", false, bodyOf("whole"), nil, 200, "whole", true},
 		"a body of a request that may run twice, killed": {"/read/x", true, bodyOf("half"), bodyOf("whole"), 200, "whole", true},
 	} {
-		t.Run(name, func(t *testing.T) {
-			var count atomic.Int32
-			var servers [2]*simulatedServer
-			respond := func(i int) func(string, *http.Request, net.Conn) {
-				return func(id string, _ *http.Request, c net.Conn) {
-					if count.Add(1) > 1 {
-						_, _ = io.WriteString(c, tc.second(id))
+		for _, accepts := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, accepts %v", name, accepts), func(t *testing.T) {
+				var count atomic.Int32
+				var servers [2]*simulatedServer
+				respond := func(i int) func(string, *http.Request, net.Conn) {
+					return func(id string, _ *http.Request, c net.Conn) {
+						if count.Add(1) > 1 {
+							_, _ = io.WriteString(c, tc.second(id))
+							_ = c.Close()
+							return
+						}
+						_, _ = io.WriteString(c, tc.first(id))
+						if tc.isKilled && !accepts {
+							_ = servers[i].listener.Close()
+						}
+						servers[i].isKilled.Store(tc.isKilled)
 						_ = c.Close()
-						return
 					}
-					_, _ = io.WriteString(c, tc.first(id))
-					if tc.isKilled {
-						_ = servers[i].listener.Close()
-					}
-					_ = c.Close()
 				}
-			}
-			servers[0], servers[1] = newServer(t, respond(0)), newServer(t, respond(1))
-			n := newNode(t, servers[:]...)
-			c := n.dial()
-			c.send(tc.path, "q", "")
-			resp, err := c.readResponse()
-			n.Expect(resp.body).To(Equal(tc.body))
-			n.Expect(resp.status).To(Equal(tc.status))
-			n.Expect(err == nil).To(Equal(tc.isComplete), "%v", err)
-		})
+				servers[0], servers[1] = newServer(t, respond(0)), newServer(t, respond(1))
+				n := newNode(t, servers[:]...)
+				c := n.dial()
+				c.send(tc.path, "q", "")
+				resp, err := c.readResponse()
+				n.Expect(resp.body).To(Equal(tc.body))
+				n.Expect(resp.status).To(Equal(tc.status))
+				n.Expect(err == nil).To(Equal(tc.isComplete), "%v", err)
+			})
+		}
 	}
 }
 
@@ -80,9 +85,9 @@
 	c.send("/live/x", "q", "")
 	_, err := c.readResponse()
 	n.Expect(err).NotTo(HaveOccurred())
-	n.Eventually(func() int { return logs.count("step=response_end request=q peer=s0 outcome=accepted") }, "1s").Should(Equal(1))
+	n.Eventually(func() int { return logs.count("step=response_end request=q peer=s0 outcome=proved") }, "1s").Should(Equal(1))
 	n.Eventually(func() int { return logs.count("framing=close last_event=2") }, "1s").Should(Equal(2), "in that line, and at the end of the request")
 	var metrics bytes.Buffer
 	n.Meter.Write(&metrics)
-	n.Expect(metrics.String()).To(ContainSubstring(`dottereltack_response_ends_total{outcome="accepted"} 1`))
+	n.Expect(metrics.String()).To(ContainSubstring(`dottereltack_response_ends_total{outcome="proved"} 1`))
 }
--- a/dottereltack/dtnode/harness_test.go
+++ b/dottereltack/dtnode/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,8 +83,12 @@
 	disconnected chan string // IDs of requests whose connection ended while they ran.
 	address      string
 	listener     net.Listener
+	isKilled     atomic.Bool // Connections are accepted, as by the kernel of a process that is just ending, and then end.
 }
 
+// statusPath is the path at which simulated servers name themselves.
+const statusPath = "/status"
+
 // newServer starts a simulated server that calls respond with each request and its ID.
 func newServer(t *testing.T, respond func(id string, req *http.Request, c net.Conn)) *simulatedServer {
 	t.Helper()
@@ -113,6 +118,13 @@
 		if err != nil {
 			return
 		}
+		if s.isKilled.Load() {
+			return
+		}
+		if req.URL.Path == statusPath {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Server: "+req.Header.Get("X-To")+"\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		id := req.Header.Get("X-Id")
 		body, _ := io.ReadAll(req.Body)
 		s.mu.Lock()
@@ -199,7 +211,7 @@
 		route("/live/", func(r *dtdispatch.Route) { r.Streaming = true }),
 	})
 	config.Limits.MaxBodyBytes = 32 << 20
-	config.Services["a"] = dtdispatch.Service{Name: "a", MaxConnections: 100}
+	config.Services["a"] = dtdispatch.Service{Name: "a", MaxConnections: 100, StatusPath: statusPath}
 	var list []dtdispatch.Server
 	for i, s := range servers {
 		list = append(list, dtdispatch.Server{ID: dtdispatch.ServerID(fmt.Sprintf("s%d", i)), Service: "a", Address: s.address, Domain: "d"})
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -317,7 +317,7 @@
 	if framingOf(a.resp) != dtdispatch.FramingClose {
 		return true
 	}
-	closed := dtdispatch.ResponseClosed{Number: a.send.Number, Attempt: a.send.Attempt, Via: a.result.Via}
+	closed := dtdispatch.ResponseClosed{Number: a.send.Number, Attempt: a.send.Attempt, Via: a.result.Via, ConnectedAt: a.result.ConnectedAt}
 	if a.send.Streaming {
 		closed.LastEvent = a.exchange.lastEventID
 	}
--- a/dottereltack/dtrelay/check_test.go
+++ b/dottereltack/dtrelay/check_test.go
@@ -183,14 +183,17 @@
 		p.relay.registerExchange(&exchange{relay: p.relay, number: 3, ctx: ctx})
 		p.Expect(p.run()).To(Equal(dtdispatch.ServerChecked{Server: "s1", Number: 3, Connected: true}))
 		p.relay.unregisterExchange(&exchange{relay: p.relay, number: 3})
+		p.Expect(time.Now()).To(BeTemporally("<", p.check.Deadline))
 	})
 	t.Run("until the relay is closed", func(t *testing.T) {
 		p := newStatusPlay(t, "")
 		p.check.Address = serveStatus(t, func(c net.Conn) {
 			_, _ = http.ReadRequest(bufio.NewReader(c))
 			p.relay.Close()
+			_, _ = io.Copy(io.Discard, c)
 		})
-		p.Expect(p.run().Answered).To(BeFalse())
+		p.Expect(p.run()).To(Equal(unanswered))
+		p.Expect(time.Now()).To(BeTemporally("<", p.check.Deadline))
 	})
 }
 
