--- a/dottereltack/dtrelay/check.go
+++ b/dottereltack/dtrelay/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"syscall"
@@ -17,9 +18,8 @@
 
 // Errors of a status request.
 var (
-	errUnknownStatus       = errors.New("server answers another request than the status request")
-	errStatusTooLarge      = errors.New("status too large")
-	errIncarnationNotNamed = errors.New("status does not name the incarnation of the server")
+	errUnknownStatus  = errors.New("server answers another request than the status request")
+	errStatusTooLarge = errors.New("status too large")
 )
 
 // Check reports whether a server accepts a connection within connectCheckTimeout, or its host refuses it, and what its process
@@ -208,7 +208,7 @@
 	case isNamed && !c.openedAt.After(e.KnownSince):
 		k.result.Answered = true
 	default:
-		k.result.Detail = errIncarnationNotNamed.Error()
+		k.result.Detail = fmt.Sprintf("status %d names server %q with start %d", resp.StatusCode, identity.Server, identity.Start)
 		return
 	}
 	k.result.Detail = ""
