dtdispatch: complete plain responses of servers whose status names no start

Cause: the list names the start of each server, the health page only its ID, and nothing else of such a service names it (the report is a 400 there). Only an older connection that happened to be idle could prove such a response whole.

An answer that has the server's ID and names no incarnation now completes plain responses, whose end is read as soon as it arrives, and is logged as `named`. A stream stays in doubt and is cut. What remains: a server that is restarted under its ID and at its address within that time is taken for the former one for plain responses.

--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -162,6 +162,7 @@
 	Number    RequestNumber // As in CheckServer.
 	Connected bool          // A connection was open or has been accepted, which the kernel also does for a process that is ending or stopped.
 	Answered  bool          // The process of the incarnation has answered the status request.
+	Named     bool          // A process has answered it that has the server's ID and does not name its incarnation.
 	Replaced  bool          // Another incarnation or server has answered it.
 	Lost      bool          // A new connection has ended without an answer.
 	Refused   bool          // No process listens at its address.
--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -14,6 +14,7 @@
 // What has proved the end of such a response, or why nothing has, for the log and the metrics.
 const (
 	endProved     = "proved"     // The process of the server has answered.
+	endNamed      = "named"      // A process with the ID of the server has, which does not name its incarnation.
 	endUnanswered = "unanswered" // It has not, or no router could ask it.
 	endLost       = "lost"       // It has ended a connection without an answer.
 	endRefused    = "refused"    // No process listens at its address.
@@ -55,6 +56,10 @@
 	return s.headerDeadline(r, now)
 }
 
+// A server whose status does not name its incarnation may have been restarted under its ID since the end of the response. A
+// stream, which can be gone on with, is cut then. A plain response is not: no response of such a server could ever be proved
+// complete otherwise, unless an older connection to it happens to be idle. Its end is read as soon as it arrives.
+
 // endClosedResponse applies the result of that check. If the server is gone, AttemptEnded follows and has its crash
 // recorded.
 func (s *State) endClosedResponse(ev ServerChecked, now time.Time) {
@@ -64,7 +69,7 @@
 	}
 	outcome := s.endOutcome(r, &ev)
 	s.recordEnd(r, outcome, ev.Detail, now)
-	if outcome == endProved {
+	if outcome == endProved || outcome == endNamed && !r.Route.Streaming {
 		s.emit(CompleteResponse{Number: ev.Number})
 		return
 	}
@@ -83,8 +88,12 @@
 		return endReplaced
 	case ev.Lost:
 		return endLost
-	case ev.Answered && ev.Via == r.LastVia:
+	case ev.Via != r.LastVia:
+		return endUnanswered
+	case ev.Answered:
 		return endProved
+	case ev.Named:
+		return endNamed
 	}
 	return endUnanswered
 }
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -169,3 +169,20 @@
 		})
 	}
 }
+
+// TestResponsesOfServersThatNameNoStartAreRefused guards against servers whose status does not name their incarnation, and whose
+// plain responses would all be refused. Their streams are cut, as such a server may have been restarted under its ID.
+func TestResponsesOfServersThatNameNoStartAreRefused(t *testing.T) {
+	for path, isComplete := range map[string]bool{"/once/x": true, "/read/x": true, "/stream/x": false, "/live/x": false} {
+		t.Run(path, func(t *testing.T) {
+			r := newRouter(t, 1)
+			r.sendRequest(path)
+			send := r.onlySend()
+			r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt})
+			effects := r.step(dtdispatch.ServerChecked{Server: send.Server, Number: send.Number, Connected: true, Named: true})
+			r.Expect(effectsOf[dtdispatch.CompleteResponse](effects)).To(HaveLen(map[bool]int{true: 1}[isComplete]))
+			r.Expect(effectsOf[dtdispatch.EndAttempt](effects)).To(HaveLen(map[bool]int{false: 1}[isComplete]))
+			r.Expect(logRecords(effects, "response_end")[0].Outcome).To(Equal("named"))
+		})
+	}
+}
--- a/dottereltack/dtrelay/check.go
+++ b/dottereltack/dtrelay/check.go
@@ -208,6 +208,7 @@
 	case isNamed && !c.openedAt.After(e.KnownSince):
 		k.result.Answered = true
 	default:
+		k.result.Named = isNamed && identity.Start == 0
 		k.result.Detail = fmt.Sprintf("status %d names server %q with start %d", resp.StatusCode, identity.Server, identity.Start)
 		return
 	}
