dtstate: probe a server again that has dropped the probe after a cut answer

On the own interface a request that crashes servers had its crash counted neither against itself nor against its prompt parts, if the owner's probe reached the kernel before the listener of the killed process had ended, or a proxy.

Cause: a connection that is accepted and ends without a response was a probe "unanswered", upon which the verdict "no crash" went out at once.

A dropped probe is now told from one without an answer, and repeated after 100 ms as long as answers await their verdict; the next one is answered by the process, by another incarnation or refused. If all are dropped until the verdict is due, the server counts as crashed for the answers that were cut, and as down. One that answers, or is silent, does not. In calm nothing more is sent; a dropped probe costs up to seven more.

--- a/core/dtstate/crash.go
+++ b/core/dtstate/crash.go
@@ -7,9 +7,13 @@
 
 // handleServerCrash records a crash for each digest that was in flight at the server.
 func (s *State) handleServerCrash(sv *BackendServer, now time.Time) {
+	s.recordServerCrash(sv, append(s.slotsAt(sv.ID), sv.Owned.AwaitingVerdict...), now)
+}
+
+// recordServerCrash records a crash of a server for each digest of some of its slots.
+func (s *State) recordServerCrash(sv *BackendServer, slots []*OwnedSlot, now time.Time) {
 	recorded := map[uint64]bool{}
-	slots := s.slotsAt(sv.ID)
-	for _, slot := range append(slots, sv.Owned.AwaitingVerdict...) {
+	for _, slot := range slots {
 		slot.ServerCrashed = true
 		if slot.Digest != 0 && !recorded[slot.Digest] {
 			recorded[slot.Digest] = true
@@ -86,11 +90,25 @@
 	}
 }
 
-// handleVerdictTimer sends verdicts without a crash if the probe got no response in time.
+// handleVerdictTimer sends verdicts without a crash if the probe got no response in time. If the server has dropped the
+// probes, its process has ended, and something else accepts connections for it.
 func (s *State) handleVerdictTimer(id ServerID, now time.Time) {
 	sv := s.Fleet.Servers[id]
-	if sv != nil && sv.Owned != nil {
-		s.sendVerdicts(sv, false, now)
+	if sv == nil || sv.Owned == nil {
+		return
+	}
+	if sv.Owned.HasDroppedProbe && len(sv.Owned.AwaitingVerdict) > 0 {
+		s.recordServerCrash(sv, sv.Owned.AwaitingVerdict, now) // Others may still be in progress.
+		s.setDown(sv, true)
+	}
+	s.sendVerdicts(sv, false, now)
+}
+
+// repeatDroppedProbe probes a server again that has dropped a probe, while attempts await their verdict.
+func (s *State) repeatDroppedProbe(id ServerID) {
+	sv := s.Fleet.Servers[id]
+	if sv != nil && sv.Owned != nil && len(sv.Owned.AwaitingVerdict) > 0 {
+		s.probe(sv, true)
 	}
 }
 
--- a/core/dtstate/owner.go
+++ b/core/dtstate/owner.go
@@ -7,7 +7,8 @@
 // Timeouts and bounds of an owner's slots.
 const (
 	slotTimeout            = 7 * time.Second        // Slots that are not renewed within this time are removed.
-	verdictProbeTimeout    = 800 * time.Millisecond // How long a verdict waits for a probe; after that, no crash is assumed.
+	verdictProbeTimeout    = 800 * time.Millisecond // How long a verdict waits for a probe; after that, no crash is assumed unless the server drops probes.
+	droppedProbeDelay      = 100 * time.Millisecond // The kernel may accept connections for a process that has just ended.
 	maxHops                = 2                      // Forwards of one slot request.
 	poisonCrashThreshold   = 2                      // Crashed servers after which a request is refused.
 	recentForwardRetention = 2 * time.Second        // How long requests with the same digest follow a forwarded one to its server.
--- a/core/dtstate/server.go
+++ b/core/dtstate/server.go
@@ -29,6 +29,7 @@
 	ProbeAnswered   ProbeResult = iota
 	ProbeRefused                // The connection was refused, so no server process listens.
 	ProbeUnanswered             // No response in time.
+	ProbeDropped                // A new connection was accepted and ended without a response; it says nothing of a process.
 )
 
 // ServerReport is a backend server's report of its own state.
@@ -60,6 +61,7 @@
 	CapShrunkAt       time.Time
 	AwaitingVerdict   []*OwnedSlot // Cut attempts.
 	ProbePending      bool
+	HasDroppedProbe   bool       // The last probe was dropped.
 	lastSentLoad      ServerLoad // Load in the last report to other owners.
 }
 
@@ -188,6 +190,7 @@
 	}
 	owned := sv.Owned
 	owned.ProbePending = false
+	owned.HasDroppedProbe = ev.Result == ProbeDropped
 	switch ev.Result {
 	case ProbeAnswered:
 		s.applyReport(sv, ev.Report, now)
@@ -196,6 +199,12 @@
 			s.handleServerCrash(sv, now)
 		}
 		s.setDown(sv, true)
+	case ProbeDropped:
+		if len(owned.AwaitingVerdict) > 0 {
+			s.setTimer(now, droppedProbeDelay, timerDroppedProbe, string(sv.ID), 0)
+			return
+		}
+		fallthrough
 	case ProbeUnanswered:
 		owned.MissedProbes++
 		if owned.MissedProbes >= missedProbesToDown {
--- a/core/dtstate/timer.go
+++ b/core/dtstate/timer.go
@@ -18,6 +18,7 @@
 	timerLedger
 	timerSuspect
 	timerVerdict
+	timerDroppedProbe
 	timerHomeWait
 )
 
@@ -138,6 +139,8 @@
 		s.handleHomeWaitTimer(t.Key, now)
 	case timerVerdict:
 		s.handleVerdictTimer(ServerID(t.Key), now)
+	case timerDroppedProbe:
+		s.repeatDroppedProbe(ServerID(t.Key))
 	}
 }
 
--- a/dottereltack/dtserver/client.go
+++ b/dottereltack/dtserver/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	errOtherRequest   = errors.New("response to another request")
 	errStatus         = errors.New("unexpected status")
 	errMalformedChunk = errors.New("malformed chunked encoding")
+	errDropped        = errors.New("connection ended without a response")
 )
 
 // Client sends requests to backend servers and reuses idle connections.
@@ -149,13 +151,16 @@
 }
 
 // Probe requests the status report of a backend server; the result distinguishes a refused
-// connection from a server that does not respond.
+// connection, and a new one that was dropped, from a server that does not respond.
 func (c *Client) Probe(e dtstate.Probe) dtstate.ProbeCompleted {
 	ev := dtstate.ProbeCompleted{Server: e.Server, Result: dtstate.ProbeUnanswered}
 	body, err := c.roundTrip(e.Address, fasthttp.MethodGet, dtapi.PathReport, nil, probeTimeout, e.NewConnection)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			ev.Result = dtstate.ProbeRefused
+		case e.NewConnection && errors.Is(err, errDropped):
+			ev.Result = dtstate.ProbeDropped
 		}
 		return ev
 	}
@@ -209,9 +214,13 @@
 	defer fasthttp.ReleaseResponse(resp)
 	if err := cn.writeRequest(httpReq); err != nil {
 		_ = cn.Close()
-		return nil, wrapError(err, "send", address)
+		return nil, wrapError(asDropped(err), "send", address)
 	}
 	_ = cn.SetReadDeadline(time.Now().Add(timeout))
+	if _, err := cn.reader.Peek(1); err != nil {
+		_ = cn.Close()
+		return nil, wrapError(asDropped(err), "read", address)
+	}
 	if err := resp.ReadLimitBody(cn.reader, maxReportBytes); err != nil {
 		_ = cn.Close()
 		return nil, wrapError(err, "read", address)
@@ -243,6 +252,14 @@
 	return []byte(`{"request_id":` + strconv.Quote(string(id)) + `,"offset":` + strconv.FormatUint(uint64(offset), 10) + `}`)
 }
 
+// asDropped returns errDropped with err unless that is a timeout.
+func asDropped(err error) error {
+	if isTimeout(err) {
+		return err
+	}
+	return fmt.Errorf("%w (%w)", errDropped, err)
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/dottereltack/dtserver/client_test.go
+++ b/dottereltack/dtserver/client_test.go
@@ -206,3 +206,32 @@
 		})
 	}
 }
+
+// TestProbeOfAServerThatDropsItIsTakenForUnanswered tells a server that drops a new connection from one that is silent.
+func TestProbeOfAServerThatDropsItIsTakenForUnanswered(t *testing.T) {
+	reset := func(c net.Conn) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	for name, tc := range map[string]struct {
+		respond func(c net.Conn)
+		isNew   bool
+		want    dtstate.ProbeResult
+	}{
+		"closed":                                {func(c net.Conn) { _ = c.Close() }, true, dtstate.ProbeDropped},
+		"reset":                                 {reset, true, dtstate.ProbeDropped},
+		"closed within a report":                {func(c net.Conn) { _, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n{"); _ = c.Close() }, true, dtstate.ProbeUnanswered},
+		"silent":                                {func(net.Conn) {}, true, dtstate.ProbeUnanswered},
+		"answered":                              {func(c net.Conn) { _, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}") }, true, dtstate.ProbeAnswered},
+		"a connection that may be idle, closed": {func(c net.Conn) { _ = c.Close() }, false, dtstate.ProbeUnanswered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _, _ := startServer(t, func(_ int32, c net.Conn) { tc.respond(c) })
+			client := dtserver.New("", dtmeter.New())
+			defer client.Close()
+			NewWithT(t).Expect(client.Probe(dtstate.Probe{Address: address, NewConnection: tc.isNew}).Result).To(Equal(tc.want))
+		})
+	}
+}
