dtdispatch: a server that drops a connection is asked whether its process lives

A prompt part that crashes servers was never blocked where the kernel, or a proxy, went on to accept connections for a process that had ended: sound streams broke off with each crash, and requests with the part reached server after server.

Cause: one connect decided; an accept was taken for a sign of life, and the crash counted against nothing.

What shows a crash is now: the address refuses, another incarnation answers, no connection can be opened, or the check is accepted and dropped twice, 250 ms apart, after a response had begun and while no older request is in progress at the server. The listener of a process that has ended refuses by the second check; a proxy goes on to drop it. A server without room for another connection drops new ones, too, but keeps those that it has, and had taken no request on one that it resets. An answer of the process clears it; silence (a stopped or full process) shows nothing. Services without a status path are connected to twice.

A loss after the check began is checked again, as the server may have answered before it ended; each server is checked four times a second at most. An answer on a connection that was open before does not show that new ones can be opened, so that it doesn't end a cut; a check that no router has made is no failure of a direct connection; one that comes back after a pause of the router without a connection shows nothing. Logs name what an outcome rests on.

crashServer of the reducer's tests now answers all checks that follow, those of other servers too, as happens in a router: a server whose connections are being checked is asked after that.

--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -49,7 +49,9 @@
 	PromptParts []PromptPart
 	Progress    Progress
 	StartedAt   time.Time // When the first event arrived; zero if none has.
+	ConnectedAt time.Time // When the connection was opened; zero if none was, or it is not known.
 	EndedAt     time.Time // When the connection ended.
+	Start       int64     // Of the incarnation of the server that was listed when the attempt began.
 }
 
 // blamedParts returns the shared parts of the prompt if the server had just begun to respond.
@@ -80,8 +82,9 @@
 	Source   uint64        // Hash of the router and its incarnation, from which report IDs are derived.
 	Reports  []*KnownCrash // In the order in which they became known.
 	Suspects map[ServerID][]*CrashSuspect
-	Sound    map[uint64]SoundPart // By ID, for prompt parts of reports.
-	Recent   RecentParts          // Of complete responses.
+	Checks   map[ServerID]*SuspectCheck // Of servers that have dropped connections lately.
+	Sound    map[uint64]SoundPart       // By ID, for prompt parts of reports.
+	Recent   RecentParts                // Of complete responses.
 
 	seq   uint64
 	known map[uint64]bool // By report ID.
@@ -91,29 +94,41 @@
 // NewCrashTracker returns an empty tracker; source is unique to the incarnation of a router.
 func NewCrashTracker(source uint64) CrashTracker {
 	return CrashTracker{
-		Source: source, Suspects: map[ServerID][]*CrashSuspect{}, Sound: map[uint64]SoundPart{},
+		Source: source, Suspects: map[ServerID][]*CrashSuspect{}, Checks: map[ServerID]*SuspectCheck{}, Sound: map[uint64]SoundPart{},
 		known: map[uint64]bool{}, byKey: map[crashKey][]*KnownCrash{},
 	}
 }
 
-// AddSuspect records a request whose connection the server dropped and reports whether a
-// liveness check of the server must be started.
-func (t *CrashTracker) AddSuspect(id ServerID, suspect *CrashSuspect) bool {
-	suspects, isPending := t.Suspects[id]
-	if len(suspects) < maxCrashReports {
+// AddSuspect records a request whose connection the server dropped.
+func (t *CrashTracker) AddSuspect(id ServerID, suspect *CrashSuspect) {
+	if suspects := t.Suspects[id]; len(suspects) < maxCrashReports {
 		t.Suspects[id] = append(suspects, suspect)
 	}
-	return !isPending
 }
 
-// ResolveSuspects applies the result of a liveness check and returns the requests that the server
-// interrupted: if it is down, a crash is reported for each of them.
-func (t *CrashTracker) ResolveSuspects(id ServerID, alive bool, now time.Time) []*CrashSuspect {
-	suspects := t.Suspects[id]
+func (t *CrashTracker) check(id ServerID) *SuspectCheck {
+	return getOrCreate(t.Checks, id, func() *SuspectCheck { return &SuspectCheck{} })
+}
+
+// hasBegun reports whether the server had begun to respond to one of the requests whose connections it has dropped.
+func (t *CrashTracker) hasBegun(id ServerID) bool {
+	return slices.ContainsFunc(t.Suspects[id], func(c *CrashSuspect) bool { return c.Progress != ProgressNone })
+}
+
+// ResolveSuspects applies the result of a check and returns the requests that it is about. If the server has crashed, that is
+// reported for each of them, and else those that it has dropped since the check began await another one.
+func (t *CrashTracker) ResolveSuspects(id ServerID, hasCrashed bool, now time.Time) []*CrashSuspect {
+	suspects, check := t.Suspects[id], t.check(id)
+	check.IsRepeated = false
 	delete(t.Suspects, id)
-	if alive {
-		return suspects
+	if !hasCrashed {
+		isChecked := func(c *CrashSuspect) bool { return !c.EndedAt.After(check.BegunAt) }
+		if later := slices.DeleteFunc(slices.Clone(suspects), isChecked); len(later) > 0 {
+			t.Suspects[id] = later
+		}
+		return slices.DeleteFunc(suspects, func(c *CrashSuspect) bool { return !isChecked(c) })
 	}
+	delete(t.Checks, id)
 	for _, suspect := range suspects {
 		report := CrashReport{ID: Mix(t.Source, t.seq), Digest: suspect.Digest, Server: ServerRef(HashString(string(id)))}
 		report.Parts = t.Recent.without(suspect.blamedParts(), suspect.EndedAt)
--- a/core/dtdispatch/crashcheck_test.go
+++ b/core/dtdispatch/crashcheck_test.go
@@ -28,9 +28,6 @@
 // check for a process that has just ended, or a proxy does, and drops it. A sound server without room for another connection
 // does so, too, and one that is stopped or full is silent.
 func TestServerThatDropsItsCheckIsTakenForAlive(t *testing.T) {
-	if !*knownRedFlag {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	lost := dtdispatch.ServerChecked{Connected: true, Lost: true}
 	answered := dtdispatch.ServerChecked{Connected: true, Answered: true}
 	accepted := dtdispatch.ServerChecked{Connected: true}
@@ -67,17 +64,124 @@
 			r.now = r.now.Add(time.Second)
 			digest := r.state.Requests[n].Digest
 			r.loseStream(n, tc.progress)
-			effects := r.effects
+			effects, logged := r.effects, []dtdispatch.LogRecord(nil)
 			for _, checked := range tc.checked {
 				checks := effectsOf[dtdispatch.CheckServer](effects)
 				r.Expect(checks).To(HaveLen(1))
 				r.Expect(checks[0].StatusPath).To(Equal(tc.statusPath))
 				checked.Server = checks[0].Server
-				r.step(checked)
+				for _, record := range effectsOf[dtdispatch.LogRecord](r.step(checked)) {
+					if record.Event == "crash_suspect" {
+						logged = append(logged, record)
+					}
+				}
 				effects = r.advance(300 * time.Millisecond)
 			}
 			r.Expect(r.state.Crashes.Count(digest)).To(Equal(tc.crashes))
 			r.Expect(r.state.Crashes.Suspects).To(BeEmpty())
+			r.Expect(logged).To(HaveLen(1))
+			r.Expect(logged[0].Detail).NotTo(BeEmpty())
 		})
 	}
 }
+
+// TestServerThatCrashesWhileItIsCheckedIsTakenForAlive guards against a crash that is not counted: the server has answered
+// the check that follows a lost connection, and ends then.
+func TestServerThatCrashesWhileItIsCheckedIsTakenForAlive(t *testing.T) {
+	r := newAskingRouter(t, 1, "/status")
+	first, second := r.sendRequest("/live/x"), r.sendRequest("/live/x")
+	digest := r.state.Requests[second].Digest
+	r.loseStream(first, dtdispatch.ProgressEvents)
+	r.now = r.now.Add(time.Millisecond)
+	r.loseStream(second, dtdispatch.ProgressEvents)
+	r.Expect(effectsOf[dtdispatch.CheckServer](r.effects)).To(BeEmpty(), "while it is being checked")
+	r.step(dtdispatch.ServerChecked{Server: "s0", Connected: true, Answered: true})
+	r.Expect(effectsOf[dtdispatch.CheckServer](r.advance(300 * time.Millisecond))).To(HaveLen(1))
+	r.step(dtdispatch.ServerChecked{Server: "s0", Refused: true})
+	r.Expect(r.state.Crashes.Count(digest)).To(Equal(1))
+}
+
+// TestServerThatDropsManyConnectionsIsAskedForEach guards against status requests without end to a server in trouble.
+func TestServerThatDropsManyConnectionsIsAskedForEach(t *testing.T) {
+	const count, most = 60, 5 // Four a second, and the first.
+	for name, tc := range map[string]struct {
+		checked  dtdispatch.ServerChecked
+		interval time.Duration // Between two losses.
+		most     int
+	}{
+		"it has crashed":                {dtdispatch.ServerChecked{Refused: true}, 0, 1},
+		"it lives":                      {dtdispatch.ServerChecked{Connected: true, Answered: true}, 0, 1},
+		"it lives, within a second":     {dtdispatch.ServerChecked{Connected: true, Answered: true}, 16 * time.Millisecond, most},
+		"it has no room, in one second": {dtdispatch.ServerChecked{Connected: true, Lost: true}, 16 * time.Millisecond, most},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newAskingRouter(t, 1, "/status")
+			var numbers []dtdispatch.RequestNumber
+			for range count {
+				numbers = append(numbers, r.sendRequest("/single/x"))
+			}
+			asked := 0
+			var checks []dtdispatch.CheckServer
+			for _, n := range numbers {
+				r.loseStream(n, dtdispatch.ProgressNone)
+				checks = append(checks, effectsOf[dtdispatch.CheckServer](r.effects)...)
+				if tc.interval > 0 {
+					r.now = r.now.Add(tc.interval)
+					checks = append(checks, effectsOf[dtdispatch.CheckServer](r.step(dtdispatch.TimerFired{}))...)
+					asked += r.answerChecks(checks, tc.checked)
+					checks = nil
+				}
+			}
+			asked += r.answerChecks(checks, tc.checked)
+			r.Expect(asked).To(BeNumerically("<=", tc.most))
+			r.Expect(asked).To(BeNumerically(">", 0))
+			r.advance(time.Second)
+			r.Expect(r.state.Crashes.Checks).To(HaveLen(len(r.state.Crashes.Suspects)))
+		})
+	}
+}
+
+// answerChecks applies a result to checks and returns how many of them ask for a status.
+func (r *router) answerChecks(checks []dtdispatch.CheckServer, checked dtdispatch.ServerChecked) int {
+	asked := 0
+	for _, check := range checks {
+		if check.StatusPath != "" {
+			asked++
+			checked.Server = check.Server
+			r.step(checked)
+		}
+	}
+	return asked
+}
+
+// TestKeptConnectionEndsACut guards against a router that takes itself for connected again: a server has answered on a
+// connection that was open before, while no new one can be opened. A check that no router has made shows nothing either.
+func TestKeptConnectionEndsACut(t *testing.T) {
+	r := newAskingRouter(t, 3, "/status")
+	n := r.sendRequest("/live/x")
+	id := r.onlySend().Server
+	r.loseStream(n, dtdispatch.ProgressEvents)
+	reach := r.state.Reach["a"]
+	openedAt := reach.OpenedAt
+	r.now = r.now.Add(10 * time.Millisecond)
+	r.step(dtdispatch.ServerChecked{Server: id, Connected: true, Answered: true})
+	r.Expect(reach.OpenedAt).To(Equal(openedAt))
+	r.Expect(reach.Failed).To(BeEmpty())
+	r.state.Tunnels.Suspected[id] = true
+	r.step(dtdispatch.ServerChecked{Server: id})
+	r.Expect(reach.Failed).To(BeEmpty())
+}
+
+// TestServerIsTakenForCrashedAfterAPause guards against crashes of sound servers: the router stood still while it checked one,
+// and the time for the check had passed before it could connect.
+func TestServerIsTakenForCrashedAfterAPause(t *testing.T) {
+	for pause, crashes := range map[time.Duration]int{500 * time.Millisecond: 1, 3 * time.Second: 0} {
+		r := newAskingRouter(t, 1, "/status")
+		n := r.sendRequest("/live/x")
+		digest := r.state.Requests[n].Digest
+		r.loseStream(n, dtdispatch.ProgressEvents)
+		r.now = r.now.Add(pause)
+		r.step(dtdispatch.ServerChecked{Server: "s0"})
+		r.Expect(r.state.Crashes.Count(digest)).To(Equal(crashes), pause.String())
+	}
+}
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -104,11 +104,13 @@
 	r.step(ev)
 }
 
-// crashServer ends the first attempt of a request with a crash of its server.
+// crashServer ends the first attempt of a request with a crash of its server. The others that are checked then live.
 func (r *router) crashServer(n dtdispatch.RequestNumber) {
+	crashed := r.state.Requests[n].Server
 	r.endAttempt(n, 1, dtdispatch.OutcomeConnectionLost)
-	for _, check := range effectsOf[dtdispatch.CheckServer](r.effects) {
-		r.step(dtdispatch.ServerChecked{Server: check.Server})
+	for checks := effectsOf[dtdispatch.CheckServer](r.effects); len(checks) > 0; checks = checks[1:] {
+		id := checks[0].Server
+		checks = append(checks, effectsOf[dtdispatch.CheckServer](r.step(dtdispatch.ServerChecked{Server: id, Connected: id != crashed, Refused: id == crashed}))...)
 	}
 }
 
--- a/core/dtdispatch/reach.go
+++ b/core/dtdispatch/reach.go
@@ -292,6 +292,7 @@
 		return
 	}
 	servers, n := s.acceptingServers(service, now), maxReachChecks
+	servers = slices.DeleteFunc(servers, s.isBeingAsked)
 	if c.IsCutOff() {
 		n = 1
 	} else {
@@ -320,19 +321,21 @@
 	return next
 }
 
-// observeCheck applies the result of a check over a direct connection, and reports whether that was all that the check
-// was for.
+// observeCheck applies what a check has shown of the direct connections of this router, for which the accept by the kernel is
+// enough, and reports whether that was all that the check was for. A server that is asked for its status may have answered on
+// a connection that was open before.
 func (s *State) observeCheck(ev ServerChecked, now time.Time) bool {
 	server := s.Roster.Servers[ev.Server]
-	if server == nil || ev.Via != "" {
+	if server == nil || ev.Via != "" || s.Tunnels.Suspected[server.ID] {
 		return false
 	}
 	c := s.reach(server.Service)
 	wasChecking := c.Checking[server.ID]
-	if ev.Connected {
-		s.recordConnection(server.Service, now, now)
-	} else {
+	switch {
+	case !ev.Connected:
 		s.recordConnectFailure(server, c.Checked[server.ID], now)
+	case wasChecking || !s.Crashes.check(server.ID).IsAsked:
+		s.recordConnection(server.Service, now, now)
 	}
 	if !wasChecking {
 		return false
@@ -343,7 +346,7 @@
 			s.recordDown(id, now)
 		}
 	}
-	return len(s.Crashes.Suspects[server.ID]) == 0
+	return true
 }
 
 // restartReach discards failures that a standstill of this router may have caused.
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -100,7 +100,7 @@
 		Number: r.Number, Attempt: r.Attempt, Server: server.ID, Start: server.Start, Address: server.Address,
 		Account: r.Account, CacheSource: r.Placement.CacheSource, StripAPIKey: s.Config.AccountsByKey != nil, Priority: r.Priority, Streaming: r.Route.Streaming,
 		Resumable: r.isResumable(), HoldStream: r.HoldsStream, AtMostOnce: !r.Route.IsRetryable(),
-		Deadline: r.Deadline, HeaderDeadline: s.headerDeadline(r, now), StreamIdleTimeout: s.streamIdleTimeout(r), ConnectTimeout: connectTimeout(r.Route), MaxIdleConns: s.maxIdleConns(r), Via: r.Via,
+		Deadline: r.Deadline, HeaderDeadline: s.headerDeadline(r, now), StreamIdleTimeout: s.streamIdleTimeout(r), ConnectTimeout: connectTimeout(r.Route), MaxIdleConns: s.maxIdleConns(r.Service), Via: r.Via,
 	})
 }
 
@@ -138,8 +138,8 @@
 }
 
 // maxIdleConns returns how many idle connections this router may keep to one server.
-func (s *State) maxIdleConns(r *Request) int {
-	maxConns := s.Config.Services[r.Service].MaxConnections
+func (s *State) maxIdleConns(service string) int {
+	maxConns := s.Config.Services[service].MaxConnections
 	return max(maxConns/(idleConnsDivisor*s.RouterCount()), 1)
 }
 
@@ -249,10 +249,11 @@
 		return
 	}
 	s.recordLoss(r.Server, now)
-	suspect := &CrashSuspect{RequestID: r.ID, Digest: r.Digest, PromptParts: r.PromptParts, Progress: ev.Progress, StartedAt: r.ResponseStartedAt, EndedAt: now}
-	if s.Crashes.AddSuspect(r.Server, suspect) {
-		s.checkSuspect(server, s.viaFor(server, now), now)
-	}
+	s.Crashes.AddSuspect(r.Server, &CrashSuspect{
+		RequestID: r.ID, Digest: r.Digest, PromptParts: r.PromptParts, Progress: ev.Progress, StartedAt: r.ResponseStartedAt,
+		ConnectedAt: later(r.ConnectedAt, ev.ConnectedAt), EndedAt: now, Start: r.ServerStart,
+	})
+	s.checkSuspects(server, now)
 }
 
 // recordHealth updates the health of the server of an attempt and of its failure domain.
@@ -277,37 +278,16 @@
 	}
 }
 
-// handleServerChecked applies the result of a liveness check of a server that dropped
-// connections.
+// handleServerChecked applies the result of a check of a server.
 func (s *State) handleServerChecked(ev ServerChecked, now time.Time) {
-	if ev.Number != 0 {
-		s.endClosedResponse(ev)
-		return
-	}
-	if s.observeCheck(ev, now) || s.recheckSuspect(ev, now) {
-		return
-	}
-	outcome := "crashed"
 	switch {
-	case ev.Connected:
-		outcome = "alive"
-	case ev.Via == "" && s.Tunnels.Suspected[ev.Server]:
-		outcome = "unknown" // No router could check the server.
-	}
-	delete(s.Tunnels.Suspected, ev.Server)
-	hasCrashed := outcome == "crashed"
-	for _, suspect := range s.Crashes.ResolveSuspects(ev.Server, !hasCrashed, now) {
-		s.emit(LogRecord{
-			Event: "crash_suspect", RequestID: suspect.RequestID, Subject: string(ev.Server), Outcome: outcome,
-			Progress: suspect.Progress, PromptParts: suspect.PromptParts, Crashes: s.Crashes.Count(suspect.Digest),
-		})
-	}
-	if !hasCrashed || s.Roster.Servers[ev.Server] == nil {
-		return
+	case ev.Number != 0:
+		s.endClosedResponse(ev)
+	case s.observeCheck(ev, now) && (ev.Connected || len(s.Crashes.Suspects[ev.Server]) == 0):
+		s.checkSuspectsIfDue(now)
+	case !s.recheckSuspect(ev, now):
+		s.endSuspectCheck(ev, now)
 	}
-	s.serverHealth(ev.Server).RecordUnreachable(now)
-	s.recordDown(ev.Server, now)
-	s.emit(LogRecord{Event: "server_crashed", Subject: string(ev.Server)})
 }
 
 // giveUp ends a request that no server has completed.
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -293,7 +293,7 @@
 // updateTimer requests a timer for the next task if its time has changed.
 func (s *State) updateTimer(now time.Time) {
 	next := s.Peers.NextStatusTime()
-	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt, s.ServerNews.nextAt(), s.nextHoldEnd(now), s.nextReachCheckAt(), s.nextRoomWaitAt(now)} {
+	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt, s.ServerNews.nextAt(), s.nextHoldEnd(now), s.nextReachCheckAt(), s.nextSuspectCheckAt(), s.nextRoomWaitAt(now)} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
@@ -320,6 +320,7 @@
 	s.forwardHeldStreams(now)
 	s.tellServerNewsIfDue(now)
 	s.checkReachIfDue(now)
+	s.checkSuspectsIfDue(now)
 }
 
 func (s *State) serverLoad(id ServerID) *ServerLoad {
--- a/core/dtdispatch/tunnel.go
+++ b/core/dtdispatch/tunnel.go
@@ -300,22 +300,11 @@
 	return ""
 }
 
-// checkSuspect checks whether a server has crashed that has dropped connections, by way of another router if this one
-// can't connect to it.
-func (s *State) checkSuspect(server *Server, via []Via, now time.Time) {
-	if len(via) == 0 {
-		s.reach(server.Service).BeginCheck(server.ID, now)
-	} else {
-		s.Tunnels.Suspected[server.ID] = true
-	}
-	s.emit(CheckServer{Server: server.ID, Start: server.Start, Address: server.Address, Via: via})
-}
-
 // recheckSuspect has a server checked by way of another router that this one could not connect to, if that may be for
 // another reason than a crash, and returns false if not.
 func (s *State) recheckSuspect(ev ServerChecked, now time.Time) bool {
 	server := s.Roster.Servers[ev.Server]
-	if server == nil || ev.Connected || s.Tunnels.Suspected[ev.Server] || !s.isDoubtful(server) {
+	if server == nil || ev.Connected || s.Tunnels.Suspected[ev.Server] || len(s.Crashes.Suspects[ev.Server]) == 0 || !s.isDoubtful(server) {
 		return false
 	}
 	via := s.rankVia(server, now)
