dtdispatch: only a check that was begun can be overdue

The result of a check that no loss had begun was taken for one that comes back after a pause, so that the crash of its server was not noted.

--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -30,6 +30,11 @@
 // NextAt returns when the server may be checked again.
 func (c *SuspectCheck) NextAt() time.Time { return c.BegunAt.Add(suspectCheckInterval) }
 
+// isOverdue reports whether the result of the check has come long after its time.
+func (c *SuspectCheck) isOverdue(now time.Time) bool {
+	return !c.BegunAt.IsZero() && now.Sub(c.BegunAt) > maxSuspectCheckTime
+}
+
 // checkSuspects checks whether a server has crashed that has dropped connections, unless it is being checked, which may show
 // that, or has just been.
 func (s *State) checkSuspects(server *Server, now time.Time) {
@@ -133,7 +138,7 @@
 		return outcomeAlive
 	case ev.Via == "" && s.Tunnels.Suspected[ev.Server]:
 		return outcomeUnknown
-	case !ev.Connected && !ev.Refused && now.Sub(check.BegunAt) > maxSuspectCheckTime:
+	case !ev.Connected && !ev.Refused && check.isOverdue(now):
 		return outcomeUnknown // This router stood still, and the deadline had passed before it could connect.
 	case ev.Refused, ev.Replaced, !ev.Connected:
 		return outcomeCrashed
