dtstate: only a probe that was sent after a cut clears its server

On the own interface a crash was not counted if the server had answered a probe that was sent before it crashed, and that answer was read after the cut.

Cause: any answer to a probe sent the verdict "no crash" to all attempts that had been cut by then.

A cut attempt now waits for the end of all probes that were in flight when its own was sent, at most until its verdict is due as before. A refusal or another incarnation still decides at once. No probe is added.

--- a/core/dtstate/crash.go
+++ b/core/dtstate/crash.go
@@ -69,6 +69,7 @@
 		owned.AwaitingVerdict = append(owned.AwaitingVerdict, slot)
 		s.Owner.group(sv.Group).RunningByDigest[slot.Digest]++ // Requests with the same digest wait until the verdict is sent.
 		s.probe(sv, true)
+		slot.PendingProbes = owned.ProbesInFlight
 		s.setTimer(now, verdictProbeTimeout, timerVerdict, string(sv.ID), 0)
 	case OutcomeNotSent:
 		s.probe(sv, true)
@@ -84,12 +85,31 @@
 func (s *State) sendVerdicts(sv *BackendServer, crashed bool, now time.Time) {
 	waiting := sv.Owned.AwaitingVerdict
 	sv.Owned.AwaitingVerdict = nil
-	for _, slot := range waiting {
+	s.sendVerdictsOf(sv, waiting, crashed, now)
+}
+
+func (s *State) sendVerdictsOf(sv *BackendServer, slots []*OwnedSlot, crashed bool, now time.Time) {
+	for _, slot := range slots {
 		s.Owner.group(sv.Group).removeRunning(slot.Digest)
 		s.send(slot.EntryRouter, newServerVerdict(slot, crashed || slot.ServerCrashed), now)
 	}
 }
 
+// sendProvenVerdicts sends verdicts without a crash for the attempts that were cut before the last probe that has ended was
+// sent.
+func (s *State) sendProvenVerdicts(sv *BackendServer, now time.Time) {
+	var proven, waiting []*OwnedSlot
+	for _, slot := range sv.Owned.AwaitingVerdict {
+		if slot.PendingProbes <= 0 {
+			proven = append(proven, slot)
+		} else {
+			waiting = append(waiting, slot)
+		}
+	}
+	sv.Owned.AwaitingVerdict = waiting
+	s.sendVerdictsOf(sv, proven, false, now)
+}
+
 // handleVerdictTimer sends verdicts without a crash if the probe got no response in time. If the server has dropped the
 // probes, its process has ended, and something else accepts connections for it.
 func (s *State) handleVerdictTimer(id ServerID, now time.Time) {
@@ -107,8 +127,12 @@
 // repeatDroppedProbe probes a server again that has dropped a probe, while attempts await their verdict.
 func (s *State) repeatDroppedProbe(id ServerID) {
 	sv := s.Fleet.Servers[id]
-	if sv != nil && sv.Owned != nil && len(sv.Owned.AwaitingVerdict) > 0 {
-		s.probe(sv, true)
+	if sv == nil || sv.Owned == nil || len(sv.Owned.AwaitingVerdict) == 0 {
+		return
+	}
+	s.probe(sv, true)
+	for _, slot := range sv.Owned.AwaitingVerdict {
+		slot.PendingProbes = sv.Owned.ProbesInFlight
 	}
 }
 
--- a/core/dtstate/server.go
+++ b/core/dtstate/server.go
@@ -61,6 +61,7 @@
 	CapShrunkAt       time.Time
 	AwaitingVerdict   []*OwnedSlot // Cut attempts.
 	ProbePending      bool
+	ProbesInFlight    int
 	HasDroppedProbe   bool       // The last probe was dropped.
 	lastSentLoad      ServerLoad // Load in the last report to other owners.
 }
@@ -174,6 +175,7 @@
 		return
 	}
 	sv.Owned.ProbePending = true
+	sv.Owned.ProbesInFlight++
 	s.emit(Probe{Server: sv.ID, Address: sv.Address, NewConnection: newConnection})
 }
 
@@ -190,6 +192,7 @@
 	}
 	owned := sv.Owned
 	owned.ProbePending = false
+	owned.endProbe()
 	owned.HasDroppedProbe = ev.Result == ProbeDropped
 	switch ev.Result {
 	case ProbeAnswered:
@@ -211,12 +214,20 @@
 			s.setDown(sv, true)
 		}
 	}
-	s.sendVerdicts(sv, false, now)
+	s.sendProvenVerdicts(sv, now)
 	g := s.Fleet.Groups[sv.Group]
 	s.scheduleLoads(g, now)
 	s.serveQueue(g, now)
 }
 
+// endProbe records that a probe has ended.
+func (o *OwnedServer) endProbe() {
+	o.ProbesInFlight = max(o.ProbesInFlight-1, 0)
+	for _, slot := range o.AwaitingVerdict {
+		slot.PendingProbes--
+	}
+}
+
 // applyReport updates the server's state after a report and compares the reported load
 // with the owner's counts.
 func (s *State) applyReport(sv *BackendServer, r ServerReport, now time.Time) {
--- a/core/dtstate/slot.go
+++ b/core/dtstate/slot.go
@@ -21,6 +21,7 @@
 	Slow          bool  // The first byte took longer than at a warm server.
 	ServerCrashed bool  // The server crashed while the attempt was in flight.
 	Crashes       uint8 // Known crashes of servers that ran the request.
+	PendingProbes int   // Of its server, sent until the attempt was cut; each of their answers may have been sent before.
 }
 
 // addSlot adds a slot to the counts of its server, group and account, and removeSlot
