dtdispatch: servers that drop their checks are asked by way of another router, too

Where several servers are suspects, or the router is cut off, a second dropped check is now repeated by way of another router, as one without a connection was before. An answer there clears the server, a drop there counts, and no router that could ask shows nothing.

--- a/core/dtdispatch/crashcheck_test.go
+++ b/core/dtdispatch/crashcheck_test.go
@@ -185,3 +185,56 @@
 		r.Expect(r.state.Crashes.Count(digest)).To(Equal(crashes), pause.String())
 	}
 }
+
+// TestLinkThatResetsIsTakenForCrashes guards against sound prompt parts that are blocked: a link of this router accepts and
+// resets all connections, so that several servers drop their checks. Other routers reach them.
+func TestLinkThatResetsIsTakenForCrashes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		checked dtdispatch.ServerChecked // By way of another router.
+		crashes int
+	}{
+		"another router has an answer": {dtdispatch.ServerChecked{Connected: true, Answered: true, Via: "r2"}, 0},
+		"it is dropped there, too":     {dtdispatch.ServerChecked{Connected: true, Lost: true, Via: "r2"}, 1},
+		"no router could ask":          {dtdispatch.ServerChecked{}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(t, 2, "r1", "r2", "r3")
+			r := n.routers["r1"]
+			service := r.state.Config.Services["a"]
+			service.StatusPath = "/status"
+			r.state.Config.Services["a"] = service
+			var checks []dtdispatch.CheckServer
+			digests, seen := []uint64(nil), map[dtdispatch.ServerID]bool{}
+			for len(seen) < 2 {
+				number := r.sendRequest("/live/x")
+				send := r.onlySend()
+				r.step(dtdispatch.ResponseStarted{Number: number, Attempt: 1, ConnectedAt: r.now})
+				if seen[send.Server] {
+					r.endAttempt(number, 1, dtdispatch.OutcomeCompleted)
+					continue
+				}
+				seen[send.Server] = true
+				digests = append(digests, r.state.Requests[number].Digest)
+			}
+			for number := range r.state.Requests {
+				r.loseStream(number, dtdispatch.ProgressEvents)
+				checks = append(checks, effectsOf[dtdispatch.CheckServer](r.effects)...)
+			}
+			for _, check := range checks {
+				r.step(dtdispatch.ServerChecked{Server: check.Server, Connected: true, Lost: true})
+			}
+			again := effectsOf[dtdispatch.CheckServer](r.advance(300 * time.Millisecond))
+			r.Expect(again).To(HaveLen(2))
+			tunneled := effectsOf[dtdispatch.CheckServer](r.step(dtdispatch.ServerChecked{Server: again[0].Server, Connected: true, Lost: true}))
+			r.Expect(tunneled).To(HaveLen(1))
+			r.Expect(tunneled[0].Via).NotTo(BeEmpty())
+			tc.checked.Server = again[0].Server
+			r.step(tc.checked)
+			crashes := 0
+			for _, digest := range digests {
+				crashes += r.state.Crashes.Count(digest)
+			}
+			r.Expect(crashes).To(Equal(tc.crashes))
+		})
+	}
+}
--- a/core/dtdispatch/tunnel.go
+++ b/core/dtdispatch/tunnel.go
@@ -300,11 +300,12 @@
 	return ""
 }
 
-// recheckSuspect has a server checked by way of another router that this one could not connect to, if that may be for
-// another reason than a crash, and returns false if not.
+// recheckSuspect has a server checked by way of another router that this one could not connect to, or that has dropped two
+// checks, if that may be for another reason than a crash, and returns false if not.
 func (s *State) recheckSuspect(ev ServerChecked, now time.Time) bool {
 	server := s.Roster.Servers[ev.Server]
-	if server == nil || ev.Connected || s.Tunnels.Suspected[ev.Server] || len(s.Crashes.Suspects[ev.Server]) == 0 || !s.isDoubtful(server) {
+	isDropped := ev.Lost && s.Crashes.check(ev.Server).IsRepeated // As by a link that resets all connections.
+	if server == nil || ev.Connected && !isDropped || s.Tunnels.Suspected[ev.Server] || len(s.Crashes.Suspects[ev.Server]) == 0 || !s.isDoubtful(server) {
 		return false
 	}
 	via := s.rankVia(server, now)
