--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -43,7 +43,7 @@
 	}
 	s.emit(CheckServer{
 		Server: r.Server, Start: r.ServerStart, Number: r.Number, Address: r.Placement.Server.Address, Via: via,
-		StatusPath: s.Config.Services[r.Service].StatusPath, KnownSince: later(r.SentAt, ev.ConnectedAt), Deadline: s.statusDeadline(r, now), MaxIdleConns: s.maxIdleConns(r),
+		StatusPath: s.Config.Services[r.Service].StatusPath, KnownSince: later(r.SentAt, ev.ConnectedAt), Deadline: s.statusDeadline(r, now), MaxIdleConns: s.maxIdleConns(r.Service),
 	})
 }
 
--- a/core/dtstate/server.go
+++ b/core/dtstate/server.go
@@ -29,6 +29,7 @@
 	ProbeAnswered   ProbeResult = iota
 	ProbeRefused                // The connection was refused, so no server process listens.
 	ProbeUnanswered             // No response in time.
+	ProbeDropped                // A new connection was accepted and ended without a response; it says nothing of a process.
 )
 
 // ServerReport is a backend server's report of its own state.
@@ -60,6 +61,8 @@
 	CapShrunkAt       time.Time
 	AwaitingVerdict   []*OwnedSlot // Cut attempts.
 	ProbePending      bool
+	ProbesInFlight    int
+	HasDroppedProbe   bool       // The last probe was dropped.
 	lastSentLoad      ServerLoad // Load in the last report to other owners.
 }
 
@@ -172,6 +175,7 @@
 		return
 	}
 	sv.Owned.ProbePending = true
+	sv.Owned.ProbesInFlight++
 	s.emit(Probe{Server: sv.ID, Address: sv.Address, NewConnection: newConnection})
 }
 
@@ -188,6 +192,8 @@
 	}
 	owned := sv.Owned
 	owned.ProbePending = false
+	owned.endProbe()
+	owned.HasDroppedProbe = ev.Result == ProbeDropped
 	switch ev.Result {
 	case ProbeAnswered:
 		s.applyReport(sv, ev.Report, now)
@@ -196,18 +202,32 @@
 			s.handleServerCrash(sv, now)
 		}
 		s.setDown(sv, true)
+	case ProbeDropped:
+		if len(owned.AwaitingVerdict) > 0 {
+			s.setTimer(now, droppedProbeDelay, timerDroppedProbe, string(sv.ID), 0)
+			return
+		}
+		fallthrough
 	case ProbeUnanswered:
 		owned.MissedProbes++
 		if owned.MissedProbes >= missedProbesToDown {
 			s.setDown(sv, true)
 		}
 	}
-	s.sendVerdicts(sv, false, now)
+	s.sendProvenVerdicts(sv, now)
 	g := s.Fleet.Groups[sv.Group]
 	s.scheduleLoads(g, now)
 	s.serveQueue(g, now)
 }
 
+// endProbe records that a probe has ended.
+func (o *OwnedServer) endProbe() {
+	o.ProbesInFlight = max(o.ProbesInFlight-1, 0)
+	for _, slot := range o.AwaitingVerdict {
+		slot.PendingProbes--
+	}
+}
+
 // applyReport updates the server's state after a report and compares the reported load
 // with the owner's counts.
 func (s *State) applyReport(sv *BackendServer, r ServerReport, now time.Time) {
