dtrelay: end a stream whose server has sent it whole and exited

Callers had streams broken off that were whole: a server that sends its last response to the end of the connection and exits can't be asked any more, and looks like one that was killed. The router goes on at the last event, and the next server has none: its empty response was malformed, the attempt was spent, and the caller took the stream up to learn the same.

Within one response an empty one is now the end of the stream, as it is for a caller that takes a stream up, if its end is marked, if it is of a server of the same version (no other may go on), and if the event before it was followed by an end that nothing has proved. After a length that promised more, within an event, or after an unmarked end it stays malformed.

--- a/dottereltack/dtnode/harness_test.go
+++ b/dottereltack/dtnode/harness_test.go
@@ -208,6 +208,9 @@
 		route("/once/", func(*dtdispatch.Route) {}),
 		route("/read/", func(r *dtdispatch.Route) { r.Idempotent = true }),
 		route("/stream/", func(r *dtdispatch.Route) { r.Streaming, r.Resumable, r.MaxEventGap = true, true, 100*time.Millisecond }),
+		route("/long/", func(r *dtdispatch.Route) {
+			r.Streaming, r.Resumable, r.MaxEventGap, r.MaxAttempts = true, true, 100*time.Millisecond, 3
+		}),
 		route("/live/", func(r *dtdispatch.Route) { r.Streaming = true }),
 	})
 	config.Limits.MaxBodyBytes = 32 << 20
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -26,6 +26,7 @@
 	fallback    *bufferedResponse // Error response of a server, forwarded if no further attempt is made.
 	headSent    bool              // The head of the response has been sent.
 	lastEventID string            // ID of the last event sent.
+	endInDoubt  bool              // The last event sent may be the last of the stream: what followed was an end that nothing has proved.
 
 	reservedBytes int64 // Of Relay.bodies, for the bodies of responses; released at the end.
 
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -115,7 +115,7 @@
 	} else {
 		x.caller.addChunk(events)
 	}
-	x.lastEventID = lastID
+	x.lastEventID, x.endInDoubt = lastID, false
 	if err := x.caller.flush(); err != nil {
 		x.cancelAttempt()
 		return errCallerWrite
@@ -184,11 +184,11 @@
 	return err
 }
 
-// isAtEnd reports whether a response without a new event states that the caller, who has taken the stream up, has all of
-// its events.
+// isAtEnd reports whether a response without a new event states that the caller has all events of the stream: one who has
+// taken it up, or whose first server has ended it and could not be asked whether that was the end.
 func (a *attempt) isAtEnd(events *eventSplitter) bool {
 	x := a.exchange
-	return !x.headSent && len(events.held) == 0 && framingOf(a.resp) != dtdispatch.FramingClose && (events.lastID == "" || events.lastID == x.lastEventID)
+	return (!x.headSent || x.endInDoubt) && len(events.held) == 0 && framingOf(a.resp) != dtdispatch.FramingClose && (events.lastID == "" || events.lastID == x.lastEventID)
 }
 
 // finishStream ends the response. The attempt fails if the server stopped in the middle
@@ -202,10 +202,11 @@
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEvent)
 		return
 	}
+	x := a.exchange
 	if !a.confirmEnd() {
+		x.endInDoubt = a.result.Progress == dtdispatch.ProgressEvents
 		return
 	}
-	x := a.exchange
 	x.startStream(a)
 	if err := x.endStream(); err != nil {
 		x.cancelAttempt()
