dtdispatch: ask for the incarnation that a request was sent to, not for a later one

Cause: the incarnation that was asked for came from Request.ServerStart. For the version of a stream that follows the list (confirmVersion): a start that is listed within the time that an entry may take replaces the former. The later process answered with its own start, which is what was asked for.

The check names the start that was listed when the request was sent, and once the list names another one the end is in doubt.

TestRestartRightAfterARequestIsTakenForItsServer before the change fails in the three routes of "connected before" and in plain ones of "connected since".

--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -42,7 +42,8 @@
 	SentAttempts     int        // Attempts that may have reached a server.
 	Server           ServerID   // Of the current attempt.
 	ServerVersion    string     // Software version of Server.
-	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began.
+	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began, or of a later one that may have responded.
+	SentStart        int64      // ServerStart when the attempt began.
 	SentAt           time.Time  // When the current attempt began.
 	ConnectedAt      time.Time  // When the connection of the current attempt was opened, once the server has responded.
 	Placement        Placement  // Of the current attempt.
@@ -90,7 +91,7 @@
 	r.Attempt++
 	r.SentAttempts++
 	r.SentAt, r.ResponseStartedAt, r.ConnectedAt = now, time.Time{}, time.Time{}
-	r.Server, r.ServerVersion, r.ServerStart = server.ID, server.Version, server.Start
+	r.Server, r.ServerVersion, r.ServerStart, r.SentStart = server.ID, server.Version, server.Start, server.Start
 	s.countBrittleRequest(server, now)
 	s.serverLoad(server.ID).RequestSent()
 	s.countColdRequest(server, now)
--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -42,7 +42,7 @@
 		return
 	}
 	s.emit(CheckServer{
-		Server: r.Server, Start: r.ServerStart, Number: r.Number, Address: r.Placement.Server.Address, Via: via,
+		Server: r.Server, Start: r.SentStart, Number: r.Number, Address: r.Placement.Server.Address, Via: via,
 		StatusPath: s.Config.Services[r.Service].StatusPath, KnownSince: later(r.SentAt, ev.ConnectedAt), Deadline: s.statusDeadline(r, now), MaxIdleConns: s.maxIdleConns(r),
 	})
 }
@@ -117,13 +117,16 @@
 	return ""
 }
 
-// mayBeReplaced reports whether another process listens at the address of the server of the current attempt by the list. The
-// end of a response is read late if its caller reads slowly.
+// mayBeReplaced reports whether another process may listen at the address of the server of the current attempt by the list. The
+// end of a response is read late if its caller reads slowly. Which incarnation has served a connection is not certain once
+// another one is listed: ServerStart may name the later one, and so may UpSince if a server was taken for down before.
 func (s *State) mayBeReplaced(r *Request) bool {
+	if server := s.Roster.Servers[r.Server]; server != nil && server.Start != r.SentStart {
+		return true
+	}
 	servedAt := later(r.SentAt, r.ConnectedAt)
 	for _, server := range s.Roster.Servers {
-		isOther := server.ID != r.Server || server.Start != r.ServerStart
-		if isOther && server.Address == r.Placement.Server.Address && servedAt.Before(server.earliestStart()) {
+		if server.ID != r.Server && server.Address == r.Placement.Server.Address && servedAt.Before(server.earliestStart()) {
 			return true
 		}
 	}
--- a/core/dtdispatch/responseclose_test.go
+++ b/core/dtdispatch/responseclose_test.go
@@ -186,3 +186,49 @@
 		})
 	}
 }
+
+// TestRestartRightAfterARequestIsTakenForItsServer guards against a stream that looks complete as its server was killed and restarted
+// under its ID. The list names the later start, and for the version of the stream that counts as the one that has sent it, if the
+// connection was opened within the time that an entry may take, or since the server was last taken for down.
+func TestRestartRightAfterARequestIsTakenForItsServer(t *testing.T) {
+	for name, connectedAfter := range map[string]time.Duration{"connected before": -50 * time.Millisecond, "connected since": 50 * time.Millisecond} {
+		for _, path := range []string{"/stream/x", "/live/x", "/once/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				r := newRouter(t, 1)
+				r.advance(time.Second)
+				r.listServers(2, testServers(1)...)
+				r.advance(time.Second)
+				r.sendRequest(path)
+				send := r.onlySend()
+				r.now = r.now.Add(100 * time.Millisecond)
+				list := testServers(1)
+				list[0].Start++
+				connectedAt := r.now.Add(connectedAfter)
+				r.listServers(3, list...)
+				r.now = r.now.Add(100 * time.Millisecond)
+				r.step(dtdispatch.ResponseStarted{Number: send.Number, Attempt: send.Attempt, ConnectedAt: connectedAt})
+				effects := r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt, ConnectedAt: connectedAt})
+				r.Expect(effectsOf[dtdispatch.EndAttempt](effects)).To(HaveLen(1))
+				r.Expect(effectsOf[dtdispatch.CheckServer](effects)).To(BeEmpty())
+			})
+		}
+	}
+}
+
+// TestServerThatWasRestartedAndHasLeftIsAsked guards against the same where the entry of the later process is gone again: the process
+// that is asked must be the one that the request was sent to.
+func TestServerThatWasRestartedAndHasLeftIsAsked(t *testing.T) {
+	r := newRouter(t, 1)
+	r.sendRequest("/stream/x")
+	send := r.onlySend()
+	r.step(dtdispatch.ResponseStarted{Number: send.Number, Attempt: send.Attempt, ConnectedAt: r.now.Add(50 * time.Millisecond)})
+	r.now = r.now.Add(100 * time.Millisecond)
+	list := testServers(1)
+	list[0].Start++
+	r.listServers(2, list...)
+	r.Expect(r.state.Requests[send.Number].ServerStart).To(Equal(list[0].Start))
+	r.listServers(3)
+	checks := effectsOf[dtdispatch.CheckServer](r.step(dtdispatch.ResponseClosed{Number: send.Number, Attempt: send.Attempt}))
+	r.Expect(checks).To(HaveLen(1))
+	r.Expect(checks[0].Start).To(Equal(send.Start))
+}
