dtdispatch: a stream is sent only over a connection whose server has named the listed start

Callers saw streams that hold events of two software versions where servers crash and are back under their IDs with other software. A connection leads to the process that has accepted it, but its version was taken from the list, which shows a restart up to half a second late; losses of connections date it only as of when a router hears of them.

The relay asks a server of streams for its start over the connection before it sends the request there. If that is not the listed one, nothing was sent: another server takes the request, without a retry. If it is, the stream need not be held. New streams are not asked about while one version has served and the server was not lost, nor while the list is overdue.

--- a/core/dtdispatch/config.go
+++ b/core/dtdispatch/config.go
@@ -113,6 +113,7 @@
 	Name           string
 	MaxConnections int     // Maximum number of connections to one server from all routers together.
 	ColdRate       float64 // Requests per second that a cold server can handle.
+	StatusPath     string  // Where a server answers at any time, without a slot, and names its start; "" if it does not.
 }
 
 // Account is the configuration of a client account.
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -10,7 +10,8 @@
 	Number            RequestNumber
 	Attempt           int
 	Server            ServerID
-	Start             int64 // Of the server's incarnation, in Unix milliseconds.
+	Start             int64  // Of the server's incarnation, in Unix milliseconds.
+	StatusPath        string // Where to ask the server for its start over a connection on which it has not named it, before the request is sent; "" for not at all.
 	Address           string
 	Account           string // Name of the client account, or "".
 	CacheSource       string // Address of a server to copy the cached prompt from, or "".
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -38,6 +38,7 @@
 	OutcomeFailure                       // The server returned an error.
 	OutcomeNotRun                        // The server stated that it did not execute the request.
 	OutcomeWrongServer                   // A different server responded at the address; the request was not executed.
+	OutcomeRestarted                     // The server has named another start than the listed one; no byte of the request was sent.
 	OutcomeUnreachable                   // No connection was established and no byte was sent.
 	OutcomeConnectionLost                // The connection was closed before the response was complete.
 	OutcomeUnacknowledged                // The server's host acknowledged no data; the request may have been executed.
@@ -51,7 +52,7 @@
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string {
 	return [...]string{
-		"served", "failure", "not_run", "other_server", "unreachable",
+		"served", "failure", "not_run", "other_server", "restarted", "unreachable",
 		"cut", "unacknowledged", "garbled", "silent", "unconfirmed", "expired", "caller_left",
 	}[o]
 }
@@ -100,6 +101,7 @@
 	Report      *ServerReport
 	ConnectedAt time.Time // When the connection to the server was opened.
 	Reconnected bool      // The server had closed an idle connection shortly after its last use.
+	ServerStart int64     // Start that the server has named over the connection, in Unix milliseconds; zero if it has named none.
 }
 
 // AttemptSilent reports that nothing has come from a server by SendRequest.HeaderDeadline, for
@@ -130,6 +132,8 @@
 	LastEvent       string        // ID of the last event of the stream that has reached the caller, in this attempt or before.
 	ConnectedAt     time.Time     // When the connection to the server was opened; zero if there was none.
 	Via             string        // Router by way of which it was opened, or "".
+	NotSent         bool          // No byte of the request was sent to the server; see SendRequest.StatusPath.
+	ServerStart     int64         // As in ResponseStarted.
 	FailedVia       []string      // Routers of SendRequest.Via that have not opened a tunnel, or whose tunnel has broken, for another reason than the server.
 	Detail          string        // Error text for the log.
 }
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -157,7 +157,7 @@
 		route("/stream/", func(r *dtdispatch.Route) { r.Streaming, r.Resumable, r.Affinity = true, true, true }),
 		route("/live/", func(r *dtdispatch.Route) { r.Streaming, r.Affinity = true, true }),
 	})
-	config.Services["a"] = dtdispatch.Service{Name: "a", MaxConnections: 100, ColdRate: 10}
+	config.Services["a"] = dtdispatch.Service{Name: "a", MaxConnections: 100, ColdRate: 10, StatusPath: "/status"}
 	config.AccountsByKey = map[string]dtdispatch.Account{"k1": {Name: "acme", Priority: -1}, "k2": {Name: "urgent", Priority: 0}}
 	config.Source = []byte(strconv.FormatInt(version, 10))
 	return config
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -54,6 +54,7 @@
 	LastVia          string     // Router by way of which the last attempt that has ended was sent, or "".
 	DirectFailures   []ServerID // Those of TriedServers that a tunnel may reach.
 	TunnelFailures   int        // Attempts for which no router has opened a tunnel.
+	IsStartKnown     bool       // The server of the current attempt has named ServerStart over its connection.
 	Reconnected      bool       // The server of the current attempt had closed an idle connection; see ResponseStarted.
 	SilentAttempt    int        // Last attempt whose server was silent when its response was due.
 	HoldsStream      bool       // The relay holds the stream of the current attempt until ForwardStream.
@@ -88,7 +89,7 @@
 	}
 	r.Attempt++
 	r.SentAttempts++
-	r.SentAt, r.ResponseStartedAt, r.ConnectedAt = now, time.Time{}, time.Time{}
+	r.SentAt, r.ResponseStartedAt, r.ConnectedAt, r.IsStartKnown = now, time.Time{}, time.Time{}, false
 	r.Server, r.ServerVersion, r.ServerStart = server.ID, server.Version, server.Start
 	s.countBrittleRequest(server, now)
 	s.serverLoad(server.ID).RequestSent()
@@ -97,7 +98,7 @@
 	r.HoldsStream, r.IsStreamHeld = s.mustHold(r), false
 	r.Via = s.viaFor(server, now)
 	s.emit(SendRequest{
-		Number: r.Number, Attempt: r.Attempt, Server: server.ID, Start: server.Start, Address: server.Address,
+		Number: r.Number, Attempt: r.Attempt, Server: server.ID, Start: server.Start, StatusPath: s.statusPath(r, server, now), Address: server.Address,
 		Account: r.Account, CacheSource: r.Placement.CacheSource, StripAPIKey: s.Config.AccountsByKey != nil, Priority: r.Priority, Streaming: r.Route.Streaming,
 		Resumable: r.isResumable(), HoldStream: r.HoldsStream, AtMostOnce: !r.Route.IsRetryable(),
 		Deadline: r.Deadline, HeaderDeadline: s.headerDeadline(r, now), StreamIdleTimeout: s.streamIdleTimeout(r), ConnectTimeout: connectTimeout(r.Route), MaxIdleConns: s.maxIdleConns(r), Via: r.Via,
@@ -152,6 +153,7 @@
 	}
 	s.updateReport(r, ev.Report, now)
 	r.ResponseStartedAt, r.ConnectedAt, r.Reconnected = now, ev.ConnectedAt, ev.Reconnected
+	r.IsStartKnown = r.ServerStart != 0 && ev.ServerStart == r.ServerStart
 	if !r.isTunneled() {
 		s.recordConnection(r.Service, ev.ConnectedAt, now)
 	}
@@ -160,7 +162,7 @@
 		r.Version, r.HasVersion = r.ServerVersion, true
 	}
 	if !r.goesOn() {
-		r.Origin = StreamOrigin{Server: r.Server, Start: r.ServerStart, ConnectedAt: ev.ConnectedAt, At: now}
+		r.Origin = StreamOrigin{Server: r.Server, Start: r.ServerStart, IsStartKnown: r.IsStartKnown, ConnectedAt: ev.ConnectedAt, At: now}
 		s.correctOrigin(r, now)
 	}
 	if !s.confirmVersion(r) {
@@ -215,11 +217,15 @@
 	case OutcomeCallerGone:
 		s.finish(r, ReasonCallerGone.String(), 0, now)
 	case OutcomeExpired:
-		r.MayHaveRun = true
+		r.MayHaveRun = r.MayHaveRun || !ev.NotSent
 		s.giveUp(r, ReasonDeadline, now)
-	case OutcomeUnreachable:
+	case OutcomeUnreachable, OutcomeRestarted:
 		s.retryUnreachable(r, &ev, now)
 	default:
+		if ev.NotSent {
+			s.retryUnreachable(r, &ev, now)
+			return
+		}
 		s.retry(r, &ev, now)
 	}
 }
@@ -249,6 +255,9 @@
 		return
 	}
 	s.recordLoss(r.Server, now)
+	if ev.NotSent {
+		return
+	}
 	suspect := &CrashSuspect{RequestID: r.ID, Digest: r.Digest, PromptParts: r.PromptParts, Progress: ev.Progress, StartedAt: r.ResponseStartedAt, EndedAt: now}
 	if s.Crashes.AddSuspect(r.Server, suspect) {
 		s.checkSuspect(server, s.viaFor(server, now), now)
@@ -272,6 +281,8 @@
 		s.recordDown(r.Server, now)
 	case OutcomeWrongServer:
 		h.RecordUnreachable(now)
+	case OutcomeRestarted:
+		s.recordUnlistedStart(server, ev.ServerStart, r.ID, now)
 	case OutcomeNotRun, OutcomeConnectionLost, OutcomeMalformed, OutcomeTimedOut:
 		h.RecordFailure(now)
 	}
--- a/core/dtdispatch/serverhealth.go
+++ b/core/dtdispatch/serverhealth.go
@@ -20,6 +20,7 @@
 	HalfOpen    bool      // The next result decides whether the server is avoided again.
 	DownAt      time.Time // When the server was last down, until it is known not to have restarted since.
 	LostAt      time.Time // When it last dropped a connection, likewise.
+	UnlistedAt  time.Time // When it last named another start than the listed one.
 	UnseenAt    time.Time // Until when it may have been down without this router seeing it, likewise.
 }
 
--- a/core/dtdispatch/serverrestart.go
+++ b/core/dtdispatch/serverrestart.go
@@ -65,6 +65,10 @@
 // isServerConfirmed reports whether the server of the current attempt, which has responded, is the listed incarnation.
 // A server may also drop connections because it has too many, which a stream that goes on takes for a restart, too.
 func (s *State) isServerConfirmed(r *Request, now time.Time) bool {
+	if r.IsStartKnown {
+		s.clearLossBefore(r)
+		return true
+	}
 	h := s.Health[r.Server]
 	if h == nil {
 		h = &ServerHealth{}
@@ -120,12 +124,23 @@
 	}
 }
 
+// clearLossBefore forgets losses of the server of the current attempt from before its connection, over which it has named the
+// listed start.
+func (s *State) clearLossBefore(r *Request) {
+	h := s.Health[r.Server]
+	if h != nil && r.ConnectedAt.After(later(h.missedAt(), h.LostAt)) {
+		h.clearLosses()
+	}
+}
+
 // StreamOrigin is the server that has sent the first event of a new stream.
 type StreamOrigin struct {
 	Server      ServerID
 	Start       int64 // Of the incarnation that was listed then.
 	ConnectedAt time.Time
 	At          time.Time // When the event arrived; zero if none has.
+
+	IsStartKnown bool // The server had named Start over the connection.
 }
 
 // unknownVersion is recorded as the version of a stream that either incarnation of a server may have begun.
@@ -159,7 +174,7 @@
 func (s *State) correctOrigin(r *Request, now time.Time) {
 	origin := &r.Origin
 	isNew, isCertain := s.isOnNewIncarnation(origin.Server, origin.Start, origin.ConnectedAt)
-	if !r.keepsVersion() || origin.At.IsZero() || !isNew {
+	if !r.keepsVersion() || origin.At.IsZero() || origin.IsStartKnown || !isNew {
 		return
 	}
 	server := s.Roster.Servers[origin.Server]
@@ -184,7 +199,7 @@
 	if !r.keepsVersion() {
 		return true
 	}
-	if isNew, _ := s.isOnNewIncarnation(r.Server, r.ServerStart, r.ConnectedAt); isNew {
+	if isNew, _ := s.isOnNewIncarnation(r.Server, r.ServerStart, r.ConnectedAt); isNew && !r.IsStartKnown {
 		server := s.Roster.Servers[r.Server]
 		r.ServerStart, r.ServerVersion = server.Start, server.Version
 	}
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -13,6 +13,7 @@
 // serversOfStream returns those of servers that may take a stream: of the version that began it or,
 // for a new one, of the version at which it is to begin. If that has no usable server, it is the next one.
 func (s *State) serversOfStream(r *Request, servers []*Server, now time.Time) []*Server {
+	servers = s.withListedStart(r, servers, now)
 	if r.HasVersion {
 		return withVersion(servers, r.Version)
 	}
