--- a/core/dtdispatch/config.go
+++ b/core/dtdispatch/config.go
@@ -113,7 +113,8 @@
 	Name           string
 	MaxConnections int     // Maximum number of connections to one server from all routers together.
 	ColdRate       float64 // Requests per second that a cold server can handle.
-	StatusPath     string  // Where a server answers at any time, without a slot, and names its start; "" if it does not.
+	StatusPath     string  // Path at which each server states its identity without running a request, or "".
+	NamesStart     bool    // The answer there needs no slot of the server and names its start.
 }
 
 // Account is the configuration of a client account.
--- a/core/dtdispatch/serverstart.go
+++ b/core/dtdispatch/serverstart.go
@@ -16,10 +16,11 @@
 
 // statusPath returns where the relay asks a server for its start before it sends the request, or "".
 func (s *State) statusPath(r *Request, server *Server, now time.Time) string {
-	if server.Start == 0 || !s.needsStart(r, server.ID, now) {
+	service := s.Config.Services[r.Service]
+	if server.Start == 0 || !service.NamesStart || !s.needsStart(r, server.ID, now) {
 		return ""
 	}
-	return s.Config.Services[r.Service].StatusPath
+	return service.StatusPath
 }
 
 // needsStart reports whether the request is a stream that must begin or go on at the listed incarnation of a server. While one
