dtrelay: ask the server of a stream for its start before the stream is sent

Before, the reducer only wanted it. The relay sends one status request over a connection of which it does not know the start, within the time in which the response itself is due, and keeps the start for as long as the connection lives. It does not send the request if another start is named, if there is no answer, or if another server answers. A server that does not know the path or names no start gets the request as before; one that closes the connection after its answer gets it on the next.

--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -118,13 +118,10 @@
 		a.setUnreachable(err)
 		return
 	}
-	a.conn = conn
-	a.result.ConnectedAt, a.result.Via, a.result.FailedVia = conn.openedAt, conn.via, conn.failedVia
-	conn.patient.extend = a.extendDeadline
-	if !a.exchange.setConn(conn) {
-		a.setOutcome(dtdispatch.OutcomeCallerGone, nil)
+	if !a.useConn(conn) || !a.confirmStart() {
 		return
 	}
+	a.reusable = false
 	if err := a.writeRequest(); err != nil {
 		a.setTransportOutcome(err)
 		return
@@ -135,6 +132,18 @@
 	a.handleResponse()
 }
 
+// useConn sets the connection. It returns false if it has set the outcome, as the caller has disconnected.
+func (a *attempt) useConn(conn *serverConn) bool {
+	a.conn = conn
+	a.result.ConnectedAt, a.result.Via, a.result.FailedVia = conn.openedAt, conn.via, conn.failedVia
+	conn.patient.extend = a.extendDeadline
+	if !a.exchange.setConn(conn) {
+		a.setOutcome(dtdispatch.OutcomeCallerGone, nil)
+		return false
+	}
+	return true
+}
+
 // setUnreachable sets the outcome of an attempt for which no connection was opened.
 func (a *attempt) setUnreachable(err error) {
 	a.setOutcome(dtdispatch.OutcomeUnreachable, err)
@@ -341,7 +350,7 @@
 	}
 	a.exchange.setConn(nil)
 	a.conn.patient.extend = nil
-	keep := a.reusable && !a.conn.outOfSync && a.exchange.info.ID != "" && a.conn.reader.Buffered() == 0 && !a.resp.Close
+	keep := a.reusable && !a.conn.outOfSync && a.exchange.info.ID != "" && a.conn.reader.Buffered() == 0 && (a.resp == nil || !a.resp.Close)
 	if a.bodyWriteErr != nil {
 		select {
 		case err := <-a.bodyWriteErr:
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -32,18 +32,20 @@
 // serverConn is a connection to a backend server.
 type serverConn struct {
 	net.Conn
-	reader      *bufio.Reader
-	limiter     *headLimiter   // Source of reader.
-	patient     *patientReader // Source of limiter.
-	reused      bool
-	openedAt    time.Time
-	via         string        // Router by way of which it was opened, or "".
-	failedVia   []string      // Routers that were asked for a tunnel before, for the current request.
-	replaces    bool          // The server had closed an idle connection shortly after its last use.
-	outOfSync   bool          // The server has sent a response to an earlier request, or an unexpected one.
-	requestIDs  requestIDs    // Of the requests sent.
-	idleTimeout time.Duration // How long the server keeps the connection open.
-	lastUsed    time.Time
+	reader       *bufio.Reader
+	limiter      *headLimiter   // Source of reader.
+	patient      *patientReader // Source of limiter.
+	reused       bool
+	openedAt     time.Time
+	via          string        // Router by way of which it was opened, or "".
+	failedVia    []string      // Routers that were asked for a tunnel before, for the current request.
+	replaces     bool          // The server had closed an idle connection shortly after its last use.
+	outOfSync    bool          // The server has sent a response to an earlier request, or an unexpected one.
+	requestIDs   requestIDs    // Of the requests sent.
+	start        int64         // Of the process that has accepted it, in Unix milliseconds, as its server has named it; zero if it has not.
+	isStartAsked bool          // The server has been asked for start, or is not to be.
+	idleTimeout  time.Duration // How long the server keeps the connection open.
+	lastUsed     time.Time
 }
 
 // connector opens a connection to a server; failedVia names the routers that have failed to.
@@ -125,7 +127,8 @@
 	for c = p.take(send.Address); c != nil; c = p.take(send.Address) {
 		age := now.Sub(c.lastUsed)
 		isOld := c.via != "" && now.Sub(c.openedAt) >= maxTunnelAge
-		if !isOld && age < c.idleTimeout && (!send.AtMostOnce || age < maxIdleTimeAtMostOnce) && !c.requestIDs.contains(requestID) {
+		isOther := send.StatusPath != "" && c.start != 0 && c.start != send.Start
+		if !isOld && !isOther && age < c.idleTimeout && (!send.AtMostOnce || age < maxIdleTimeAtMostOnce) && !c.requestIDs.contains(requestID) {
 			if c.isIdle() {
 				c.reused, c.replaces, c.failedVia = true, false, nil
 				return c, hasClosed
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -148,7 +148,7 @@
 		return
 	}
 	a.result.Progress = dtdispatch.ProgressEvents
-	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.result.Report, ConnectedAt: a.conn.openedAt, Reconnected: a.conn.replaces})
+	a.exchange.relay.events.Post(dtdispatch.ResponseStarted{Number: a.send.Number, Attempt: a.send.Attempt, Report: a.result.Report, ConnectedAt: a.conn.openedAt, Reconnected: a.conn.replaces, ServerStart: a.conn.start})
 	a.result.Report = nil
 }
 
--- a/dottereltack/dtrelay/tunnel_test.go
+++ b/dottereltack/dtrelay/tunnel_test.go
@@ -51,6 +51,7 @@
 	tunnels *dttunnel.Server
 	address string
 	stream  bool
+	status  string     // StatusPath of requests.
 	mu      sync.Mutex // Guards the next two fields.
 	via     []dtdispatch.Via
 	started []dtdispatch.ResponseStarted
@@ -69,7 +70,7 @@
 	case dtdispatch.RequestArrived:
 		now := time.Now()
 		q.relay.Deliver(ev.Number, dtdispatch.SendRequest{
-			Number: ev.Number, Attempt: 1, Server: "s1", Start: 7, Address: q.address, Streaming: q.stream, Deadline: now.Add(2 * time.Second),
+			Number: ev.Number, Attempt: 1, Server: "s1", Start: 7, StatusPath: q.status, Address: q.address, Streaming: q.stream, Deadline: now.Add(2 * time.Second),
 			HeaderDeadline: now.Add(2 * time.Second), ConnectTimeout: 300 * time.Millisecond, MaxIdleConns: 4, Via: q.via,
 		})
 	case dtdispatch.TunnelRequested:
