--- a/core/dtdispatch/serverstart_test.go
+++ b/core/dtdispatch/serverstart_test.go
@@ -204,3 +204,43 @@
 	r.Expect(r.state.Requests[n].Version).To(Equal("v1"))
 	r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal("v1"))
 }
+
+// TestServerThatHasRestartedIsAskedAgainAndAgain guards against streams that are refused after three servers in vain, since many have restarted
+// and the list does not show it yet, and against a server that is never used again.
+func TestServerThatHasRestartedIsAskedAgainAndAgain(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v1", "v2", "v2")
+	n := r.sendRequest("/stream/x")
+	restarted := r.onlySend().Server
+	r.endAttempt(n, 1, dtdispatch.OutcomeRestarted, func(ev *dtdispatch.AttemptEnded) { ev.NotSent, ev.ServerStart, ev.ConnectedAt = true, 7, r.now })
+	r.Expect(logRecords(r.effects, "server_unlisted")).To(HaveLen(1))
+	streamsAt := func() (count int) {
+		for range 40 {
+			r.sendRequest("/stream/x")
+			if r.onlySend().Server == restarted {
+				count++
+			}
+		}
+		return count
+	}
+	r.Expect(streamsAt()).To(BeZero())
+	r.sendRequest("/once/x")
+	r.now = r.now.Add(900 * time.Millisecond)
+	r.Expect(streamsAt()).To(BeZero())
+	r.now = r.now.Add(200 * time.Millisecond)
+	r.Expect(streamsAt()).To(BeNumerically(">", 0))
+}
+
+// TestServersAreAskedWhileTheStoreIsAway guards against new streams that are refused because servers have restarted whose entries the store
+// can't take.
+func TestServersAreAskedWhileTheStoreIsAway(t *testing.T) {
+	f := newStreams(t, "r1", "r2", "r3")
+	f.setVersions("v1", "v1", "v2", "v2")
+	f.run(3*time.Second, f.names...)
+	r := f.routers["r1"]
+	r.sendRequest("/stream/x")
+	r.Expect(r.onlySend().StatusPath).NotTo(BeEmpty())
+	f.store = nil
+	f.run(6*time.Second, f.names...)
+	r.sendRequest("/stream/x")
+	r.Expect(r.onlySend().StatusPath).To(BeEmpty())
+}
