--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -219,7 +219,7 @@
 	case OutcomeExpired:
 		r.MayHaveRun = r.MayHaveRun || !ev.NotSent
 		s.giveUp(r, ReasonDeadline, now)
-	case OutcomeUnreachable, OutcomeRestarted:
+	case OutcomeUnreachable:
 		s.retryUnreachable(r, &ev, now)
 	default:
 		if ev.NotSent {
--- a/core/dtdispatch/serverstart_test.go
+++ b/core/dtdispatch/serverstart_test.go
@@ -205,6 +205,23 @@
 	r.Expect(r.state.StreamVersions.Exceptions["first"].Version).To(Equal("v1"))
 }
 
+// TestStreamEndsAtAnIncarnationThatHasNamedItsStart guards against streams that are broken off although they go on at their version: the
+// list shows a new incarnation of the server between the request and its first event.
+func TestStreamEndsAtAnIncarnationThatHasNamedItsStart(t *testing.T) {
+	r := newRouterWithVersions(t, "v1")
+	r.sendRequest("/stream/x", resuming("earlier"))
+	r.step(dtdispatch.VersionRecordRead{})
+	r.listServers(2, serversOfVersions("v1")...)
+	n := r.sendRequest("/stream/x", resuming("first"), func(ev *dtdispatch.RequestArrived) { ev.CallerTimeout = callerTimeout - time.Second })
+	r.Expect(r.onlySend().StatusPath).To(Equal("/status"))
+	connectedAt, start := r.now.Add(10*time.Millisecond), r.onlySendStart(n)
+	r.now = r.now.Add(50 * time.Millisecond)
+	r.listServers(3, restartedAt(1, "s0", r.now)...)
+	r.step(dtdispatch.ResponseStarted{Number: n, Attempt: 1, ConnectedAt: connectedAt, ServerStart: start})
+	r.Expect(effectsOf[dtdispatch.EndAttempt](r.effects)).To(BeEmpty())
+	r.Expect(effectsOf[dtdispatch.ForwardStream](r.effects)).To(HaveLen(1))
+}
+
 // TestServerThatHasRestartedIsAskedAgainAndAgain guards against streams that are refused after three servers in vain, since many have restarted
 // and the list does not show it yet, and against a server that is never used again.
 func TestServerThatHasRestartedIsAskedAgainAndAgain(t *testing.T) {
