--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -25,14 +25,15 @@
 	Servers           map[ServerID]*Server
 	ByService         map[string][]*Server // Ordered by ID.
 	ByRef             map[ServerRef]*Server
-	ListedAt          time.Time         // Time when the list was last read by this router, or by a peer with an identical list.
-	Revision          Revision          // Revision of Servers.
-	Hash              uint64            // Hash of the properties of Servers that placement depends on.
-	HashNoVersions    uint64            // Hash that builds which know no versions of servers have of the same list.
-	GraceEndsAt       time.Time         // End of the grace period after an outage.
-	ListedSinceOutage map[ServerID]bool // Servers listed since the grace period began.
-	IsAdjusted        bool              // Servers has entries that the last list lacked, or lacks some that had left.
-	LastStaleAt       time.Time         // Time when the list was last too old to be stable.
+	ListedAt          time.Time            // Time when the list was last read by this router, or by a peer with an identical list.
+	Revision          Revision             // Revision of Servers.
+	Hash              uint64               // Hash of the properties of Servers that placement depends on.
+	HashNoVersions    uint64               // Hash that builds which know no versions of servers have of the same list.
+	GraceEndsAt       time.Time            // End of the grace period after an outage.
+	ReplacedAt        map[string]time.Time // When a server was last listed with other software under its ID, by service.
+	ListedSinceOutage map[ServerID]bool    // Servers listed since the grace period began.
+	IsAdjusted        bool                 // Servers has entries that the last list lacked, or lacks some that had left.
+	LastStaleAt       time.Time            // Time when the list was last too old to be stable.
 	Departed          map[ServerID]Departure
 	CopiesLapseAt     time.Time // Until then the store may list entries of an older copy.
 }
@@ -103,6 +104,7 @@
 	for id, server := range next {
 		if old := r.Servers[id]; old == nil || old.Start != server.Start {
 			added = append(added, id)
+			r.recordReplacement(old, server, now)
 		}
 	}
 	for id := range r.Servers {
@@ -117,6 +119,17 @@
 	return added, removed
 }
 
+// recordReplacement records that a server, which may not have been listed before, is listed with other software under its ID.
+func (r *Roster) recordReplacement(old, server *Server, now time.Time) {
+	if old == nil || old.Version == server.Version {
+		return
+	}
+	if r.ReplacedAt == nil {
+		r.ReplacedAt = map[string]time.Time{}
+	}
+	r.ReplacedAt[server.Service] = now
+}
+
 // IsStable reports whether the list has been up to date for a while, which shows that the
 // store was not unreachable for all routers.
 func (r *Roster) IsStable(now time.Time) bool {
--- a/core/dtdispatch/serverstart.go
+++ b/core/dtdispatch/serverstart.go
@@ -14,6 +14,9 @@
 // is read before.
 const unlistedPeriod = time.Second
 
+// replacementPeriod is the time between two servers of a release that is under way, at the most.
+const replacementPeriod = 2 * time.Minute
+
 // statusPath returns where the relay asks a server for its start before it sends the request, or "".
 func (s *State) statusPath(r *Request, server *Server, now time.Time) string {
 	service := s.Config.Services[r.Service]
@@ -23,14 +26,16 @@
 	return service.StatusPath
 }
 
-// needsStart reports whether the request is a stream that must begin or go on at the listed incarnation of a server. While one
-// version has served, a new stream goes by the list unless the server was lost; so does one while no new entry of a server
-// can be waited for.
+// needsStart reports whether the request is a stream that must begin or go on at the listed incarnation of a server. A new stream
+// goes by the list unless the server was lost or others of its service have lately been replaced under their IDs, and while no new
+// entry of a server can be waited for.
 func (s *State) needsStart(r *Request, id ServerID, now time.Time) bool {
 	if r.goesOn() {
 		return r.keepsVersion()
 	}
-	return r.isResumable() && !s.isListOverdue(now) && (s.wasLost(id) || !s.hadOneVersion(r.Service))
+	replacedAt := s.Roster.ReplacedAt[r.Service]
+	isReplacing := !replacedAt.IsZero() && now.Sub(replacedAt) < replacementPeriod
+	return r.isResumable() && !s.isListOverdue(now) && (isReplacing || s.wasLost(id))
 }
 
 // wasLost reports whether a server was down or has dropped a connection since it was last known to be the listed incarnation.
