--- a/core/dtdispatch/serverstart.go
+++ b/core/dtdispatch/serverstart.go
@@ -27,7 +27,7 @@
 }
 
 // needsStart reports whether the request is a stream that must begin or go on at the listed incarnation of a server. A new stream
-// goes by the list unless the server was lost or others of its service have lately been replaced under their IDs, and while no new
+// goes by the list unless the server was down or others of its service have lately been replaced under their IDs, and while no new
 // entry of a server can be waited for.
 func (s *State) needsStart(r *Request, id ServerID, now time.Time) bool {
 	if r.goesOn() {
@@ -35,13 +35,14 @@
 	}
 	replacedAt := s.Roster.ReplacedAt[r.Service]
 	isReplacing := !replacedAt.IsZero() && now.Sub(replacedAt) < replacementPeriod
-	return r.isResumable() && !s.isListOverdue(now) && (isReplacing || s.wasLost(id))
+	return r.isResumable() && !s.isListOverdue(now) && (isReplacing || s.wasDown(id))
 }
 
-// wasLost reports whether a server was down or has dropped a connection since it was last known to be the listed incarnation.
-func (s *State) wasLost(id ServerID) bool {
+// wasDown reports whether a server was down, or may have been, since it was last known to be the listed incarnation. A connection
+// that it has dropped shows that too rarely.
+func (s *State) wasDown(id ServerID) bool {
 	h := s.Health[id]
-	return h != nil && (s.mayHaveRestarted(id) || !h.LostAt.IsZero() || !h.UnlistedAt.IsZero())
+	return h != nil && (s.mayHaveRestarted(id) || !h.UnlistedAt.IsZero())
 }
 
 // withListedStart returns those of servers that have not just named another start than the listed one, if the request needs that.
