--- a/core/dtdispatch/serverstart_test.go
+++ b/core/dtdispatch/serverstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 func (a *askedServers) ask(name string, number dtdispatch.RequestNumber) (dtdispatch.SendRequest, bool) {
 	r := a.routers[name]
 	for {
-		effects := append([]dtdispatch.Effect(nil), r.effects...)
+		effects := slices.Clone(r.effects)
 		sends := effectsOf[dtdispatch.SendRequest](effects)
 		a.fleet.perform(name, effects)
 		if len(sends) == 0 {
@@ -56,9 +57,9 @@
 	a.fleet.perform(name, r.step(ev))
 }
 
-// beginAsked has n streams begin at all routers in turn, and break off after their first events.
-func (a *askedServers) beginAsked(n int) {
-	for range n {
+// beginAsked has streams begin at all routers in turn, and break off after their first events.
+func (a *askedServers) beginAsked() {
+	for range 60 {
 		a.lastID++
 		id := fmt.Sprint("stream-", a.lastID)
 		name := a.names[a.lastID%len(a.names)]
@@ -113,12 +114,12 @@
 // its ID with other software, the routers have had no sign of it, and streams begin or go on there over new connections.
 func TestStreamsOfAServerWhoseRestartNobodyHasSeenAreMixed(t *testing.T) {
 	for name, play := range map[string]func(a *askedServers){
-		"new streams":        func(a *askedServers) { a.restartUnseen(0, "v2"); a.beginAsked(60) },
-		"streams that go on": func(a *askedServers) { a.beginAsked(60); a.restartUnseen(0, "v2"); a.restartUnseen(3, "v1") },
-		"to a third version": func(a *askedServers) { a.beginAsked(60); a.restartUnseen(0, "v3"); a.beginAsked(60) },
+		"new streams":        func(a *askedServers) { a.restartUnseen(0, "v2"); a.beginAsked() },
+		"streams that go on": func(a *askedServers) { a.beginAsked(); a.restartUnseen(0, "v2"); a.restartUnseen(3, "v1") },
+		"to a third version": func(a *askedServers) { a.beginAsked(); a.restartUnseen(0, "v3"); a.beginAsked() },
 		"listed only later on": func(a *askedServers) {
 			a.restartUnseen(1, "v2")
-			a.beginAsked(60)
+			a.beginAsked()
 			a.run(50*time.Millisecond, a.names...)
 		},
 	} {
@@ -166,9 +167,13 @@
 	r.Expect(r.onlySend().StatusPath).To(BeEmpty(), "others can't go on with it")
 	r.sendRequest("/stream/x")
 	r.Expect(r.onlySend().StatusPath).To(Equal("/status"))
+	replaced = slices.Clone(replaced)
 	replaced[0].Start = 6
 	r.now = r.now.Add(3 * time.Minute)
-	r.listServers(4, replaced...)
+	for range 2 { // The first follows a standstill.
+		r.now = r.now.Add(500 * time.Millisecond)
+		r.listServers(4, replaced...)
+	}
 	r.sendRequest("/stream/x")
 	r.Expect(r.onlySend().StatusPath).To(BeEmpty(), "the release is over, and a server has restarted with its software")
 	r = newRouterWithVersions(t, "v1", "v1")
