--- a/core/dtdispatch/config.go
+++ b/core/dtdispatch/config.go
@@ -114,6 +114,7 @@
 	MaxConnections int     // Maximum number of connections to one server from all routers together.
 	ColdRate       float64 // Requests per second that a cold server can handle.
 	StatusPath     string  // Path at which each server states its identity without running a request, or "".
+	NamesStart     bool    // The answer there needs no slot of the server and names its start.
 }
 
 // Account is the configuration of a client account.
