--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -114,9 +114,12 @@
 // ResponseClosed reports that a response whose end is not marked has ended with its connection; CompleteResponse or
 // EndAttempt follows.
 type ResponseClosed struct {
-	Number  RequestNumber
-	Attempt int
-	Via     string // Router by way of which the connection was opened, or "".
+	Number    RequestNumber
+	Attempt   int
+	Via       string // Router by way of which the connection was opened, or "".
+	LastEvent string // As in AttemptEnded.
+
+	ConnectedAt time.Time // When the connection was opened.
 }
 
 // AttemptEnded reports how an attempt ended.
@@ -163,6 +166,7 @@
 	Number    RequestNumber // As in CheckServer.
 	Connected bool          // A connection was open or has been accepted, which the kernel also does for a process that is ending or stopped.
 	Answered  bool          // The process of the incarnation has answered the status request.
+	Named     bool          // A process has answered it that has the server's ID and does not name its incarnation.
 	Replaced  bool          // Another incarnation or server has answered it.
 	Lost      bool          // A new connection has ended without an answer.
 	Refused   bool          // No process listens at its address.
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -42,7 +42,8 @@
 	SentAttempts     int        // Attempts that may have reached a server.
 	Server           ServerID   // Of the current attempt.
 	ServerVersion    string     // Software version of Server.
-	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began.
+	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began, or of a later one that may have responded.
+	SentStart        int64      // ServerStart when the attempt began.
 	SentAt           time.Time  // When the current attempt began.
 	ConnectedAt      time.Time  // When the connection of the current attempt was opened, once the server has responded.
 	Placement        Placement  // Of the current attempt.
@@ -65,6 +66,7 @@
 	MayHaveRun       bool       // An attempt may have been executed.
 	HasServerFailure bool       // The relay has an error response of a server to forward.
 	ResponseStarted  bool       // Part of the response has reached the caller.
+	ClosedAt         time.Time  // When the end of a response was read that has ended with its connection.
 	Framing          Framing    // Of the response to the last attempt that has ended.
 	LastEvent        string     // ID of the last event that had reached the caller then.
 
@@ -90,7 +92,7 @@
 	r.Attempt++
 	r.SentAttempts++
 	r.SentAt, r.ResponseStartedAt, r.ConnectedAt, r.IsStartKnown = now, time.Time{}, time.Time{}, false
-	r.Server, r.ServerVersion, r.ServerStart = server.ID, server.Version, server.Start
+	r.Server, r.ServerVersion, r.ServerStart, r.SentStart = server.ID, server.Version, server.Start, server.Start
 	s.countBrittleRequest(server, now)
 	s.serverLoad(server.ID).RequestSent()
 	s.countColdRequest(server, now)
@@ -292,7 +294,7 @@
 // connections.
 func (s *State) handleServerChecked(ev ServerChecked, now time.Time) {
 	if ev.Number != 0 {
-		s.endClosedResponse(ev)
+		s.endClosedResponse(ev, now)
 		return
 	}
 	if s.observeCheck(ev, now) || s.recheckSuspect(ev, now) {
