dtrelay: open a connection ahead of requests to servers whose status names no start

Streams of a service whose status names no start were cut at each unmarked end, even without a kill (by reading).

Cause: such a status has the ID only, which the next process has, too, so that it proved nothing over a new connection.

A connection that was opened before the request was sent belongs to the process that responds, and ends with it. Once a server has been seen to name no start, one is opened ahead of each request to it, and the status request is sent on that; if it ends without an answer, the end is in doubt. It costs no further connection, as the check opened one after the end before.

--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -57,8 +57,8 @@
 }
 
 // A server whose status does not name its incarnation may have been restarted under its ID since the end of the response. A
-// stream, which can be gone on with, is cut then. A plain response is not: no response of such a server could ever be proved
-// complete otherwise, unless an older connection to it happens to be idle. Its end is read as soon as it arrives.
+// stream, which can be gone on with, is cut then. A plain response is not: the relay keeps a connection from before the next
+// request as a witness, but had none yet. Its end is read as soon as it arrives.
 
 // endClosedResponse applies the result of that check. If the server is gone, AttemptEnded follows and has its crash
 // recorded.
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -73,6 +73,7 @@
 		result: dtdispatch.AttemptEnded{Number: send.Number, Attempt: send.Attempt},
 	}
 	a.run()
+	a.keepWitness()
 	a.releaseConn()
 	a.result.ResponseStarted = x.headSent
 	a.result.Framing = framingOf(a.resp)
@@ -112,6 +113,7 @@
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEventIDs)
 		return
 	}
+	a.openWitness()
 	conn, err := a.pool.get(a.exchange.ctx, a.exchange.info.ID, a.send)
 	if err != nil {
 		a.pool.closeAddress(a.send.Address)
--- a/dottereltack/dtrelay/check.go
+++ b/dottereltack/dtrelay/check.go
@@ -65,6 +65,8 @@
 	check  *dtdispatch.CheckServer
 	pool   *idlePool
 	result dtdispatch.ServerChecked
+
+	witness *serverConn // Of the request, or nil; see openWitness.
 }
 
 // checkStatus has the process of a server answer a request. The check ends with the answer, the end of the connection, the
@@ -90,8 +92,14 @@
 	return r.ctx
 }
 
-// run asks on idle connections, which a server without room for another still serves, and then on a new one.
+// run asks on the witness of the request, on idle connections, which a server without room for another still serves, and then on
+// a new one.
 func (k *statusCheck) run(ctx context.Context) {
+	if k.witness = k.relay.takeWitness(k.check.Number); k.witness != nil {
+		if err := k.ask(ctx, k.witness); err == nil || ctx.Err() != nil {
+			return
+		}
+	}
 	for c := k.pool.takeForStatus(k.check, time.Now()); c != nil; c = k.pool.takeForStatus(k.check, time.Now()) {
 		if !c.isIdle() {
 			_ = c.Close()
@@ -205,10 +213,13 @@
 		k.result.Replaced = true
 	case identity.Start == e.Start && (isNamed || e.Start != 0):
 		k.result.Answered = true
-	case isNamed && !c.openedAt.After(e.KnownSince):
+	case isNamed && (c == k.witness || !c.openedAt.After(e.KnownSince)):
 		k.result.Answered = true
 	default:
-		k.result.Named = isNamed && identity.Start == 0
+		k.result.Named = isNamed && identity.Start == 0 && k.witness == nil
+		if k.result.Named && e.Number != 0 {
+			k.relay.witnessAddresses.add(e.Address)
+		}
 		k.result.Detail = fmt.Sprintf("status %d names server %q with start %d", resp.StatusCode, identity.Server, identity.Start)
 		return
 	}
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -32,6 +32,7 @@
 
 	mu                 sync.Mutex  // Guards the fields below.
 	conn               *serverConn // Connection of the current attempt, or nil.
+	witness            *serverConn // See openWitness.
 	callerDisconnected bool
 }
 
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -33,6 +33,7 @@
 	bodies             bodyBudget
 	limits             atomic.Pointer[dtdispatch.Limits]
 	lastRequestNumber  atomic.Uint64
+	witnessAddresses   witnessAddresses
 	keepAlivesDisabled atomic.Bool   // Close each caller's connection after its next response.
 	mu                 sync.Mutex    // Guards the next four fields.
 	drained            chan struct{} // Closed once there is no exchange; nil unless Drain waits.
