dtrelay: confirm the end of failures, too

Callers got part of the body of a failure (404, 500) as all of it, with a length of our own, where its server was killed: found in review.

Cause: the end of a response that ends with its connection was confirmed for successes only.

Evidence: TestFailureThatIsBrokenOffLooksComplete failed for 404 and 500. A failure whose end nothing proves counts as a lost connection now, which is repeated where it may be, and is 502 otherwise. Refusals are not passed on and are not asked about.

--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -302,17 +302,18 @@
 		a.setTransportOutcome(err)
 		return
 	}
-	if a.resp.StatusCode < http.StatusMultipleChoices && !a.confirmEnd() {
-		return
-	}
-	a.reusable = true
 	resp := &bufferedResponse{status: a.resp.StatusCode, fields: responseFields(a.resp.Header), body: body}
 	switch resp.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
 		// These statuses imply that the request has not run, but the server did not confirm it.
+		a.reusable = true
 		a.setOutcome(dtdispatch.OutcomeMalformed, errUnconfirmedRefusal)
 		return
 	}
+	if !a.confirmEnd() {
+		return
+	}
+	a.reusable = true
 	if resp.status >= http.StatusMultipleChoices {
 		a.exchange.fallback = resp
 		a.setOutcome(dtdispatch.OutcomeFailure, nil)
