dtrelay: a rejected status request is an answer of the server

Callers got 502 for whole plain responses that had ended with their connection while their server was full: found in review.

Cause: a health request that is rejected for want of a slot is answered without the ID of the server, which counted as no answer.

Evidence: TestFullServerIsTakenForGone failed. The request names the server that it is for, which any other declines, so that a rejection has the server's ID for the same proof as an answer that names it. One of a proxy does not say that the request was not run.

--- a/dottereltack/dtrelay/check.go
+++ b/dottereltack/dtrelay/check.go
@@ -206,7 +206,8 @@
 func (k *statusCheck) apply(c *serverConn, resp *http.Response, body []byte) {
 	e := k.check
 	identity := k.relay.dialect.ParseStatus(resp.Header, body)
-	isNamed := identity.Server == e.Server
+	// Any other server would have declined a request that is for this one.
+	isNamed := identity.Server == e.Server || identity.Server == "" && k.relay.dialect.ParseResponse(resp.Header).NotRun
 	isOtherStart := identity.Start != 0 && e.Start != 0 && identity.Start != e.Start
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest || identity.Server != "" && !isNamed || isOtherStart:
--- a/dottereltack/dtrelay/tunnel_test.go
+++ b/dottereltack/dtrelay/tunnel_test.go
@@ -31,7 +31,7 @@
 }
 
 func (tunnelDialect) ParseResponse(h http.Header) ResponseInfo {
-	return ResponseInfo{ID: h.Get("X-Id"), Signed: true}
+	return ResponseInfo{ID: h.Get("X-Id"), Signed: true, NotRun: h.Get("X-Not-Run") != ""}
 }
 
 func (tunnelDialect) StatusFields(id dtdispatch.ServerID) []HeaderField {
