dtrelay: skip a status that is sent once more on a kept connection

Callers got 502, or a broken stream, for a request that ran, where its connection had had a status request and the server sent the answer to that once more: found in review.

Cause: such an answer has no ID, and a response without one counted as of an unknown request. Since this work status requests share connections with those of callers.

On a connection that has had a status request a response without an ID is skipped, as one to an earlier request is.

--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		info := a.exchange.relay.dialect.ParseResponse(resp.Header)
-		match := matchResponse(a.exchange.info.ID, info.ID)
+		match := a.conn.requestIDs.matchResponse(a.exchange.info.ID, info.ID)
 		if match == matchesRequest {
 			a.resp, a.info = resp, info
 			a.result.Status, a.result.Progress = resp.StatusCode, dtdispatch.ProgressHeader
--- a/dottereltack/dtrelay/match.go
+++ b/dottereltack/dtrelay/match.go
@@ -30,6 +30,15 @@
 	count  int
 }
 
+// matchResponse is like the function of that name. A response without an ID belongs to a status request if one was sent on the
+// connection.
+func (r *requestIDs) matchResponse(requestID, responseID string) responseMatch {
+	if responseID == "" && requestID != "" && r.contains("") {
+		return matchesEarlier
+	}
+	return matchResponse(requestID, responseID)
+}
+
 // maxRecentRequests is the number of requests to which a server is expected to respond late.
 const maxRecentRequests = 8
 
--- a/dottereltack/dtrelay/serverstart.go
+++ b/dottereltack/dtrelay/serverstart.go
@@ -13,7 +13,7 @@
 // confirmStart asks the server for its start if that is wanted and not known of the connection. It returns false if it has set
 // the outcome, since the request must not be sent on this connection. A server that names no start is taken for the listed one.
 func (a *attempt) confirmStart() bool {
-	if a.send.StatusPath == "" {
+	if a.send.StatusPath == "" || a.exchange.info.ID == "" { // A late status could not be told from the response.
 		return true
 	}
 	if !a.conn.isStartAsked && !a.askStart() {
