--- a/dottereltack/dtrelay/serverstart.go
+++ b/dottereltack/dtrelay/serverstart.go
@@ -42,9 +42,7 @@
 		a.setOutcome(dtdispatch.OutcomeWrongServer, nil)
 		return false
 	}
-	if resp.StatusCode == http.StatusOK {
-		a.conn.start = identity.Start
-	}
+	a.conn.start = identity.Start
 	a.conn.isStartAsked = true
 	if idleTimeout := d.ParseResponse(resp.Header).IdleTimeout; idleTimeout > 0 {
 		a.conn.idleTimeout = max(idleTimeout-serverIdleMargin, 0)
