dtdispatch: a direct check of a server is overdue sooner than one by way of a router

Sound servers were taken for crashed, and their requests blamed, where the router stood still for 0.5 to 2 s while it checked one: found in review.

Cause: the bound after which the result of a check shows nothing was that of checks by way of other routers.

Evidence: TestServerIsTakenForCrashedAfterAShortPause failed. Each check is overdue at twice its own timeout now.

--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -16,12 +16,12 @@
 	// suspectCheckTimeout is the time for the answer; a process that has ended refuses or drops the request sooner.
 	suspectCheckTimeout    = 500 * time.Millisecond
 	suspectViaCheckTimeout = time.Second // By way of other routers.
-	maxSuspectCheckTime    = 2 * suspectViaCheckTimeout
 )
 
 // SuspectCheck is the check of a server that has dropped connections.
 type SuspectCheck struct {
 	BegunAt    time.Time // When the last check began.
+	Timeout    time.Duration
 	InProgress bool
 	IsAsked    bool // The server is asked for its status.
 	IsRepeated bool // The check before it proved nothing; see mayBeEnding.
@@ -32,7 +32,7 @@
 
 // isOverdue reports whether the result of the check has come long after its time.
 func (c *SuspectCheck) isOverdue(now time.Time) bool {
-	return !c.BegunAt.IsZero() && now.Sub(c.BegunAt) > maxSuspectCheckTime
+	return !c.BegunAt.IsZero() && now.Sub(c.BegunAt) > 2*c.Timeout
 }
 
 // checkSuspects checks whether a server has crashed that has dropped connections, unless it is being checked, which may show
@@ -56,7 +56,7 @@
 	}
 	suspect := s.Crashes.Suspects[server.ID][0]
 	check := s.Crashes.check(server.ID)
-	check.BegunAt, check.InProgress = now, true
+	check.BegunAt, check.Timeout, check.InProgress = now, timeout, true
 	e := CheckServer{Server: server.ID, Start: suspect.Start, Address: server.Address, Via: via}
 	if path := s.Config.Services[server.Service].StatusPath; path != "" {
 		e.StatusPath, e.KnownSince, e.Deadline, e.MaxIdleConns = path, suspect.ConnectedAt, now.Add(timeout), s.maxIdleConns(server.Service)
