dtdispatch: an answer to a check clears or blames requests of one incarnation only

A sound request, or a part of its prompt, was blamed for a crash where a server had crashed, was back under its ID, and dropped a connection as it had no room: found in review.

Cause: one incarnation is asked about, and what that showed was applied to all requests that the server had dropped.

Evidence: TestLossOfTheNextIncarnationIsTakenForACrash failed. If a process has answered, the result is about requests of the incarnation that was asked about, and the others await another check. If the address refuses, none is left.

--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -115,18 +115,26 @@
 	return slices.ContainsFunc(t.Suspects[id], func(c *CrashSuspect) bool { return c.Progress != ProgressNone })
 }
 
-// ResolveSuspects applies the result of a check and returns the requests that it is about. If the server has crashed, that is
+// ResolveSuspects applies the result of a check and returns the requests that it is about, which are those of one incarnation of
+// the server if that or another one has answered. If the server has crashed, that is
 // reported for each of them, and else those that it has dropped since the check began await another one.
-func (t *CrashTracker) ResolveSuspects(id ServerID, hasCrashed bool, now time.Time) []*CrashSuspect {
-	suspects, check := t.Suspects[id], t.check(id)
+func (t *CrashTracker) ResolveSuspects(id ServerID, hasCrashed, isAnswered bool, now time.Time) []*CrashSuspect {
+	check := t.check(id)
 	check.IsRepeated = false
+	var suspects, others []*CrashSuspect
+	for _, c := range t.Suspects[id] {
+		if (hasCrashed || !c.EndedAt.After(check.BegunAt)) && (!isAnswered || c.Start == check.Start) {
+			suspects = append(suspects, c)
+		} else {
+			others = append(others, c)
+		}
+	}
 	delete(t.Suspects, id)
+	if len(others) > 0 {
+		t.Suspects[id] = others
+	}
 	if !hasCrashed {
-		isChecked := func(c *CrashSuspect) bool { return !c.EndedAt.After(check.BegunAt) }
-		if later := slices.DeleteFunc(slices.Clone(suspects), isChecked); len(later) > 0 {
-			t.Suspects[id] = later
-		}
-		return slices.DeleteFunc(suspects, func(c *CrashSuspect) bool { return !isChecked(c) })
+		return suspects
 	}
 	delete(t.Checks, id)
 	for _, suspect := range suspects {
--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -22,6 +22,7 @@
 type SuspectCheck struct {
 	BegunAt    time.Time // When the last check began.
 	Timeout    time.Duration
+	Start      int64 // Of the incarnation that is checked.
 	InProgress bool
 	IsAsked    bool // The server is asked for its status.
 	IsRepeated bool // The check before it proved nothing; see mayBeEnding.
@@ -56,7 +57,7 @@
 	}
 	suspect := s.Crashes.Suspects[server.ID][0]
 	check := s.Crashes.check(server.ID)
-	check.BegunAt, check.Timeout, check.InProgress = now, timeout, true
+	check.BegunAt, check.Timeout, check.Start, check.InProgress = now, timeout, suspect.Start, true
 	e := CheckServer{Server: server.ID, Start: suspect.Start, Address: server.Address, Via: via}
 	if path := s.Config.Services[server.Service].StatusPath; path != "" {
 		e.StatusPath, e.KnownSince, e.Deadline, e.MaxIdleConns = path, suspect.ConnectedAt, now.Add(timeout), s.maxIdleConns(server.Service)
@@ -78,7 +79,7 @@
 		if server := s.Roster.Servers[id]; server != nil {
 			s.checkSuspects(server, now)
 		} else if !s.Crashes.check(id).InProgress {
-			s.resolveSuspects(id, outcomeUnknown, "server has left", now)
+			s.resolveSuspects(id, outcomeUnknown, false, "server has left", now)
 		}
 	}
 	maps.DeleteFunc(s.Crashes.Checks, func(id ServerID, c *SuspectCheck) bool {
@@ -117,7 +118,7 @@
 		return
 	}
 	outcome := s.suspectOutcome(ev, check, now)
-	s.resolveSuspects(ev.Server, outcome, ev.evidence(), now)
+	s.resolveSuspects(ev.Server, outcome, ev.Answered || ev.Replaced, ev.evidence(), now)
 	if outcome != outcomeCrashed || s.Roster.Servers[ev.Server] == nil {
 		return
 	}
@@ -178,9 +179,9 @@
 
 // resolveSuspects applies the outcome of a check to the requests that the server had dropped before the check began, or to all
 // if it has crashed.
-func (s *State) resolveSuspects(id ServerID, outcome, evidence string, now time.Time) {
+func (s *State) resolveSuspects(id ServerID, outcome string, isAnswered bool, evidence string, now time.Time) {
 	delete(s.Tunnels.Suspected, id)
-	for _, suspect := range s.Crashes.ResolveSuspects(id, outcome == outcomeCrashed, now) {
+	for _, suspect := range s.Crashes.ResolveSuspects(id, outcome == outcomeCrashed, isAnswered, now) {
 		s.emit(LogRecord{
 			Event: "crash_suspect", RequestID: suspect.RequestID, Subject: string(id), Outcome: outcome, Detail: evidence,
 			Progress: suspect.Progress, PromptParts: suspect.PromptParts, Crashes: s.Crashes.Count(suspect.Digest),
