dtdispatch: ask about the incarnation that a dropped request was sent to

A crash was not counted where the next incarnation of the server was listed before the loss was read: found in review.

The next process was asked for its own start, and cleared the crash.

Evidence: TestFormerIncarnationIsAskedForAfterARestart failed. A request that either may have dropped is blamed only if nothing listens at the address any more (TestRequestOfEitherIncarnationIsBlamed).

--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -52,6 +52,7 @@
 	ConnectedAt time.Time // When the connection was opened; zero if none was, or it is not known.
 	EndedAt     time.Time // When the connection ended.
 	Start       int64     // Of the incarnation of the server that was listed when the attempt began.
+	MayBeLater  bool      // A later incarnation may have dropped the connection.
 }
 
 // blamedParts returns the shared parts of the prompt if the server had just begun to respond.
@@ -138,6 +139,9 @@
 	}
 	delete(t.Checks, id)
 	for _, suspect := range suspects {
+		if isAnswered && suspect.MayBeLater {
+			continue
+		}
 		report := CrashReport{ID: Mix(t.Source, t.seq), Digest: suspect.Digest, Server: ServerRef(HashString(string(id)))}
 		report.Parts = t.Recent.without(suspect.blamedParts(), suspect.EndedAt)
 		t.add(report, true, now)
--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -182,6 +182,10 @@
 func (s *State) resolveSuspects(id ServerID, outcome string, isAnswered bool, evidence string, now time.Time) {
 	delete(s.Tunnels.Suspected, id)
 	for _, suspect := range s.Crashes.ResolveSuspects(id, outcome == outcomeCrashed, isAnswered, now) {
+		outcome := outcome
+		if isAnswered && suspect.MayBeLater {
+			outcome = outcomeUnknown
+		}
 		s.emit(LogRecord{
 			Event: "crash_suspect", RequestID: suspect.RequestID, Subject: string(id), Outcome: outcome, Detail: evidence,
 			Progress: suspect.Progress, PromptParts: suspect.PromptParts, Crashes: s.Crashes.Count(suspect.Digest),
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -262,7 +262,7 @@
 	}
 	s.Crashes.AddSuspect(r.Server, &CrashSuspect{
 		RequestID: r.ID, Digest: r.Digest, PromptParts: r.PromptParts, Progress: ev.Progress, StartedAt: r.ResponseStartedAt,
-		ConnectedAt: later(r.ConnectedAt, ev.ConnectedAt), EndedAt: now, Start: r.ServerStart,
+		ConnectedAt: later(r.ConnectedAt, ev.ConnectedAt), EndedAt: now, Start: r.SentStart, MayBeLater: r.ServerStart != r.SentStart,
 	})
 	s.checkSuspects(server, now)
 }
