dtdispatch: a server that has answered under its ID is not down

A server was avoided for 0.7 s, and taken for down since it was listed, where the check of its former incarnation was answered by itself: found in review.

Evidence: TestServerThatIsBackUnderItsIDIsAvoided failed.

--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -119,8 +119,9 @@
 	}
 	outcome := s.suspectOutcome(ev, check, now)
 	s.resolveSuspects(ev.Server, outcome, ev.Answered || ev.Replaced, ev.evidence(), now)
-	if outcome != outcomeCrashed || s.Roster.Servers[ev.Server] == nil {
-		return
+	server := s.Roster.Servers[ev.Server]
+	if outcome != outcomeCrashed || server == nil || ev.Replaced && server.Start != check.Start {
+		return // The process that has answered is listed.
 	}
 	s.serverHealth(ev.Server).RecordUnreachable(now)
 	s.recordDown(ev.Server, now)
