dtdispatch: status requests count against the budget of a cold server

A cold server without a report got more requests in a second than it tolerates, where its responses end with their connections: found in review (32 against 20 allowed by eight routers, in the reducer).

Cause: a status request to such a server waits for a slot like any other, and was not counted.

A status request takes the next slot of the router's budget. That of servers with a report, which needs no slot, does not.

--- a/core/dtdispatch/budget.go
+++ b/core/dtdispatch/budget.go
@@ -138,6 +138,11 @@
 	c.LastSlot = c.slot(rate, b, routers, now)
 }
 
+// CountStatus records that a status request follows a request to the server, which takes the next slot.
+func (c *ColdBudget) CountStatus(rate float64, b Bounds, routers int, now time.Time) {
+	c.LastSlot = max(c.LastSlot+1, c.slot(rate, b, routers, now))
+}
+
 // slot returns the number of the current slot; zero is before the first one.
 func (c *ColdBudget) slot(rate float64, b Bounds, routers int, now time.Time) int64 {
 	slotsPerSecond := coldBudgetShare * (rate*b.ColdFactor + b.ColdTolerance) / float64(routers)
--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -63,6 +63,9 @@
 		e.StatusPath, e.KnownSince, e.Deadline, e.MaxIdleConns = path, suspect.ConnectedAt, now.Add(timeout), s.maxIdleConns(server.Service)
 	}
 	check.IsAsked = e.StatusPath != ""
+	if check.IsAsked {
+		s.countColdStatus(server, now)
+	}
 	s.emit(e)
 }
 
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// countColdStatus counts a status request, which is a request like any other for a server that has no report.
+func (s *State) countColdStatus(server *Server, now time.Time) {
+	service := s.Config.Services[server.Service]
+	if service.ColdRate > 0 && !service.NamesStart && now.Before(server.ColdUntil) {
+		s.coldBudget(server, now).CountStatus(service.ColdRate, s.Settings.Bounds, s.RouterCount(), now)
+	}
+}
+
 // headerDeadline returns the time by which the response header must have arrived, early enough
 // to leave time for a retry. It is the deadline of the request if no retry is allowed.
 func (s *State) headerDeadline(r *Request, now time.Time) time.Time {
--- a/core/dtdispatch/responseclose.go
+++ b/core/dtdispatch/responseclose.go
@@ -41,6 +41,9 @@
 		s.emit(EndAttempt{Number: ev.Number})
 		return
 	}
+	if server := s.Roster.Servers[r.Server]; server != nil {
+		s.countColdStatus(server, now)
+	}
 	s.emit(CheckServer{
 		Server: r.Server, Start: r.SentStart, Number: r.Number, Address: r.Placement.Server.Address, Via: via,
 		StatusPath: s.Config.Services[r.Service].StatusPath, KnownSince: later(r.SentAt, ev.ConnectedAt), Deadline: s.statusDeadline(r, now), MaxIdleConns: s.maxIdleConns(r.Service),
