--- a/dottereltack/dtrelay/check.go
+++ b/dottereltack/dtrelay/check.go
@@ -205,12 +205,9 @@
 // server nor its start may be of a proxy. A server that is restarted may keep its ID.
 func (k *statusCheck) apply(c *serverConn, resp *http.Response, body []byte) {
 	e := k.check
-	identity := k.relay.dialect.ParseStatus(resp.Header, body)
-	// Any other server would have declined a request that is for this one.
-	isNamed := identity.Server == e.Server || identity.Server == "" && k.relay.dialect.ParseResponse(resp.Header).NotRun
-	isOtherStart := identity.Start != 0 && e.Start != 0 && identity.Start != e.Start
+	identity, isNamed := k.identify(resp, body)
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest || identity.Server != "" && !isNamed || isOtherStart:
+	case identity.Server != "" && !isNamed || identity.Start != 0 && e.Start != 0 && identity.Start != e.Start:
 		k.result.Replaced = true
 	case identity.Start == e.Start && (isNamed || e.Start != 0):
 		k.result.Answered = true
@@ -226,3 +223,17 @@
 	}
 	k.result.Detail = ""
 }
+
+// declined is the identity of a server that declines a request for another one without its ID.
+const declined = dtdispatch.ServerID("declined")
+
+// identify returns what an answer states about the process that has sent it, and whether that has the ID of the server. A
+// rejected request is for this server, as any other would have declined it.
+func (k *statusCheck) identify(resp *http.Response, body []byte) (identity ServerIdentity, isNamed bool) {
+	identity = k.relay.dialect.ParseStatus(resp.Header, body)
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return ServerIdentity{Server: declined}, false
+	}
+	isRejected := identity.Server == "" && k.relay.dialect.ParseResponse(resp.Header).NotRun
+	return identity, identity.Server == k.check.Server || isRejected
+}
