--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,9 @@
 		-upgrade.seeds $(SOAK_SEEDS) -upgrade.first $(or $(SOAK_FIRST),$(shell date +%s)) -upgrade.for 40s
 
 streams:
-	go test -count=1 -timeout 0 ./platform/dtsoak -run 'TestStreams(OfSlowCallers)?AreWhole' -streams.seeds $(SOAK_SEEDS) -streams.first $(or $(SOAK_FIRST),$(shell date +%s))
+	go test -count=1 -timeout 0 ./platform/dtsoak -run 'TestStreams(OfSlowCallers)?AreWhole$$' -streams.seeds $(SOAK_SEEDS) -streams.first $(or $(SOAK_FIRST),$(shell date +%s))
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsOfKilledServersLookComplete -v -processes.for 15s -processes.seeds $(SOAK_SEEDS) -processes.first $(or $(SOAK_FIRST),$(shell date +%s))
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsAreWholeInTrouble -v -troubles.plays all -troubles.for 12s -troubles.seeds $(SOAK_SEEDS) -troubles.first $(or $(SOAK_FIRST),$(shell date +%s))
 
 mutate:
 	scripts/mutate
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -113,7 +113,6 @@
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEventIDs)
 		return
 	}
-	a.openWitness()
 	conn, err := a.pool.get(a.exchange.ctx, a.exchange.info.ID, a.send)
 	if err != nil {
 		a.pool.closeAddress(a.send.Address)
@@ -124,6 +123,7 @@
 		return
 	}
 	a.reusable = false
+	a.openWitness()
 	if err := a.writeRequest(); err != nil {
 		a.setTransportOutcome(err)
 		return
