--- a/core/dtdispatch/crash.go
+++ b/core/dtdispatch/crash.go
@@ -116,9 +116,9 @@
 	return slices.ContainsFunc(t.Suspects[id], func(c *CrashSuspect) bool { return c.Progress != ProgressNone })
 }
 
-// ResolveSuspects applies the result of a check and returns the requests that it is about, which are those of one incarnation of
-// the server if that or another one has answered. If the server has crashed, that is
-// reported for each of them, and else those that it has dropped since the check began await another one.
+// ResolveSuspects applies the result of a check and returns the requests that it is about: those of the incarnation that was
+// checked if a process has answered, else those of any. If the server has crashed, that is reported for each of them; if not,
+// those that it has dropped since the check began await another one.
 func (t *CrashTracker) ResolveSuspects(id ServerID, hasCrashed, isAnswered bool, now time.Time) []*CrashSuspect {
 	check := t.check(id)
 	check.IsRepeated = false
--- a/core/dtdispatch/crashcheck.go
+++ b/core/dtdispatch/crashcheck.go
@@ -20,9 +20,9 @@
 
 // SuspectCheck is the check of a server that has dropped connections.
 type SuspectCheck struct {
-	BegunAt    time.Time // When the last check began.
-	Timeout    time.Duration
-	Start      int64 // Of the incarnation that is checked.
+	BegunAt    time.Time     // When the last check began.
+	Timeout    time.Duration // Of the answer.
+	Start      int64         // Of the incarnation that is checked.
 	InProgress bool
 	IsAsked    bool // The server is asked for its status.
 	IsRepeated bool // The check before it proved nothing; see mayBeEnding.
