--- a/dottereltack-load/dtfleet/fleet.go
+++ b/dottereltack-load/dtfleet/fleet.go
@@ -98,6 +98,7 @@
 				OperatorsAddress: fmt.Sprintf("%s:%d", ip, allocatePort()),
 				PlatformAddress:  f.StandSettings.Platform.Address, PeerKeys: []string{PeerKey},
 				ShutdownTimeoutMs: int(max(t.ShutdownTimeout, 10*time.Second).Milliseconds()),
+				MaxBodyBytes:      t.MaxBodyBytes, MemoryMB: t.MemoryMB, MaxDescriptors: t.MaxDescriptors,
 			}
 			f.addProxies(&h, allocatePort)
 			if i == 0 {
--- /dev/null
+++ b/dottereltack-load/dtfleet/intake_test.go
@@ -0,0 +1,98 @@
+package dtfleet_test
+
+import (
+	"flag"
+	"path/filepath"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtapi"
+	"github.com/dottereltack/dottereltack/dottereltack-load/dtfleet"
+	"github.com/dottereltack/dottereltack/dottereltack-stand/dtcrowd"
+	"github.com/dottereltack/dottereltack/dottereltack-stand/dtprocess"
+)
+
+// Limits of the router, and sizes of the crowds. The bounds are the limits themselves.
+const (
+	intakeMemoryMB       = 64
+	intakeDescriptors    = 1_800
+	reservedDescriptors  = 200 // Of those, for files.
+	intakeBodyBytes      = 1 << 20
+	crowdOfBodies        = 100
+	crowdOfPipelines     = 330
+	crowdRounds          = 3
+	crowdSendTime        = 20 * time.Second // At most, until the crowd is taken to have sent what it can.
+	intakeSampleInterval = 10 * time.Millisecond
+)
+
+var knownRedFlag = flag.Bool("known.red", false, "also play what is listed in KNOWN-RED.txt")
+
+// knownRedCrowds are the crowds that are listed in KNOWN-RED.txt.
+var knownRedCrowds = []string{"large chunk", "over the limit, chunked", "announced only", "announced chunk"}
+
+// crowdTarget returns the target of a crowd at an address.
+func crowdTarget(address string) dtcrowd.Target {
+	return dtcrowd.Target{Address: address, BodyBytes: intakeBodyBytes, Head: func(string) string {
+		return "POST " + dtapi.PathServices + "/franchise-desk/stock HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + dtfleet.AccountKey("acc-0") + "\r\n"
+	}}
+}
+
+// A process is killed for its memory, or runs out of descriptors, as many clients at once send bodies that they do not end,
+// bodies over the limit, heads without an end, or more bytes behind a request that runs.
+var _ = Describe("a crowd of clients", func() {
+	for name, tc := range map[string]struct {
+		address func(r *dtfleet.Router) string
+		groups  []dtcrowd.Group
+	}{
+		"large chunk":               {callersOf, []dtcrowd.Group{{Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
+		"one-byte chunks":           {callersOf, []dtcrowd.Group{{Size: crowdOfBodies, Form: dtcrowd.OneByteChunks}}},
+		"over the limit, chunked":   {callersOf, []dtcrowd.Group{{Size: crowdOfBodies, Form: dtcrowd.OverLimitChunked}}},
+		"over the limit, announced": {callersOf, []dtcrowd.Group{{Size: crowdOfBodies, Form: dtcrowd.OverLimitAnnounced}}},
+		"announced only":            {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.AnnouncedOnly}}},
+		"announced chunk":           {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.AnnouncedChunk}}},
+		"endless heads":             {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.EndlessHead}}},
+		"behind requests":           {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.BehindRequest}}},
+		"at the port of peers":      {peersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.Flood}, {Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
+		"at the port of operators":  {operatorsOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.BehindRequest}, {Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
+	} {
+		It("does not end a router: "+name, func() {
+			if slices.Contains(knownRedCrowds, name) && !*knownRedFlag {
+				Skip("listed in KNOWN-RED.txt")
+			}
+			playCrowd(tc.address, tc.groups)
+		})
+	}
+})
+
+func callersOf(r *dtfleet.Router) string   { return r.Host.CallersAddress }
+func peersOf(r *dtfleet.Router) string     { return r.Host.PeersAddress }
+func operatorsOf(r *dtfleet.Router) string { return r.Host.OperatorsAddress }
+
+// playCrowd has a crowd send to a port of a router and hold its connections, and judges the process of the router.
+func playCrowd(address func(r *dtfleet.Router) string, groups []dtcrowd.Group) {
+	GinkgoHelper()
+	t := dtfleet.SmallTopology()
+	t.Domains, t.RoutersPerDomain, t.EnginesPerDomain, t.ServicesPerDomain = t.Domains[:1], []int{1}, []int{1}, []int{2}
+	t.Service.CallMs = 1_000
+	t.MaxBodyBytes, t.MemoryMB, t.MaxDescriptors = intakeBodyBytes, intakeMemoryMB, intakeDescriptors
+	f := startFleet(t)
+	r := f.Routers[0]
+	watch := dtprocess.NewWatch(r.PID(), intakeSampleInterval)
+	crowd := dtcrowd.Start(crowdTarget(address(r)), crowdRounds, groups...)
+	crowd.AwaitSent(crowdSendTime)
+	caller := newCaller()
+	served := func() bool {
+		return caller.CallService(r.Host.CallersAddress, "franchise-desk", "stock", "", []byte(`{"poster":1}`)).Completed
+	}
+	Eventually(served, "60s", "100ms").Should(BeTrue(), "an ordinary request is answered")
+	crowd.Leave()
+	peak := watch.Stop()
+	GinkgoWriter.Printf("peak %d MB (resident %d, unread %d), %d descriptors; %d connections, %d closed by the router\n",
+		peak.MemoryBytes>>20, peak.ResidentBytes>>20, peak.UnreadBytes>>20, peak.Descriptors, crowd.Connections.Load(), crowd.Closed.Load())
+	Expect(dtprocess.IsRunning(r.PID(), filepath.Join(f.BinDir, "dottereltack"))).To(BeTrue(), "the process is alive")
+	Expect(peak.MemoryBytes>>20).To(BeNumerically("<=", intakeMemoryMB), "resident set and unread bytes in MB")
+	Expect(peak.Descriptors).To(BeNumerically("<=", intakeDescriptors-reservedDescriptors), "open descriptors")
+}
--- a/dottereltack-load/dtfleet/router.go
+++ b/dottereltack-load/dtfleet/router.go
@@ -76,7 +76,7 @@
 	const pollInterval, maxPolls = time.Millisecond, 2000
 	r.Signal(syscall.SIGSTOP)
 	for range maxPolls {
-		if isStopped(r.pid()) {
+		if isStopped(r.PID()) {
 			return nil
 		}
 		time.Sleep(pollInterval)
@@ -84,8 +84,8 @@
 	return fmt.Errorf("router %s did not stop", r.Name)
 }
 
-// pid returns the ID of the router's process, or 0 if there is none.
-func (r *Router) pid() int {
+// PID returns the ID of the router's process, or 0 if there is none.
+func (r *Router) PID() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cmd == nil {
--- a/dottereltack-load/dtfleet/topology.go
+++ b/dottereltack-load/dtfleet/topology.go
@@ -32,6 +32,9 @@
 	LinkDelay         time.Duration
 	ShutdownTimeout   time.Duration // Timeout of a graceful stop; below 10 s, 10 s applies.
 	LogLevel          string
+	MaxBodyBytes      int // Of a request; zero for the default, as in the next two fields.
+	MemoryMB          int // That a router's process may use.
+	MaxDescriptors    int // That it may open.
 }
 
 // PeerKey is the key that the routers of a fleet share.
