dtintake, dtrelay: what callers have sent and nobody has read is bounded

Callers saw: connections that break off while the router is killed for its memory. Bytes that a socket has received and the process has not read count toward that. Cause: while a request runs the router does not read what follows it on the connection, and a busy router reads late. The kernel then holds 128 kB a connection, and up to megabytes where large bodies have widened its buffer; nothing counted or bounded these. Change: a fifth of the memory is for receive buffers, in pools by the kind of connection (dtintake.ReceivePool). The listener's connections have small buffers; in calm each gets a wide one, and a large body a wider one; under a crowd the later ones stay small, and a connection without one finds no place. The Go runtime's limit and with it the budget leave room for them and for the program itself: below 160 MB it is less than 70%, else as before. It works as the kernel itself refuses what exceeds the buffer, whatever callers send and however late the process reads.

--- a/core/dtintake/ledger.go
+++ b/core/dtintake/ledger.go
@@ -52,6 +52,7 @@
 	ID            HolderID
 	Stage         Stage
 	Bytes         int64 // Beyond ConnBytes.
+	ReceiveBytes  int64 // Size of the kernel's receive buffer.
 	ProgressAt    time.Time
 	ProgressBytes int64 // Arrived since ProgressAt.
 	IsClosing     bool  // It has been named in a Closing and does not count any more.
@@ -68,9 +69,10 @@
 
 // Decision is whether something is granted, and which connections are to be closed for it.
 type Decision struct {
-	Granted bool
-	Close   []Closing
-	Refused Closing // Of the one that asked, unless granted.
+	Granted      bool
+	Close        []Closing
+	Refused      Closing // Of the one that asked, unless granted.
+	ReceiveBytes int64   // Size of the receive buffer of a connection that has been granted.
 }
 
 // Ledger counts what the connections of a process hold.
@@ -79,17 +81,20 @@
 	Used    int64 // By connections, bodies and responses.
 	Conns   int   // Without those being closed.
 	Closing int   // Connections being closed.
+	Receive ReceivePool
 	Holders map[HolderID]*Holder
 	last    HolderID
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger(l Limits) *Ledger { return &Ledger{Limits: l, Holders: map[HolderID]*Holder{}} }
+func NewLedger(l Limits) *Ledger {
+	return &Ledger{Limits: l, Receive: ReceivePool{Limit: l.CallerReceiveBytes}, Holders: map[HolderID]*Holder{}}
+}
 
 // Open adds a new connection. At the limit, the one that has stalled for longest is closed for it.
 func (l *Ledger) Open(now time.Time) (HolderID, Decision) {
 	d := Decision{Granted: true}
-	if l.Conns >= l.Limits.MaxConns || l.Used+ConnBytes > l.Limits.part(tinyBodyEighths) {
+	if l.Conns >= l.Limits.MaxConns || l.Used+ConnBytes > l.Limits.part(tinyBodyEighths) || l.Receive.IsFull() {
 		victims := l.victims(now, 0, StageBody, StageHead, StageIdle)
 		if len(victims) == 0 || l.Closing > l.Limits.MaxConns/closingPart {
 			return 0, Decision{Refused: Closing{Reason: ReasonNoPlace}}
@@ -97,10 +102,22 @@
 		d.Close = append(d.Close, l.markClosing(victims[0], ReasonForPlace, now))
 	}
 	l.last++
-	l.Holders[l.last] = &Holder{ID: l.last, ProgressAt: now}
+	h := &Holder{ID: l.last, ProgressAt: now, ReceiveBytes: l.Receive.Take()}
+	l.Holders[h.ID] = h
 	l.Conns++
 	l.Used += ConnBytes
-	return l.last, d
+	d.ReceiveBytes = h.ReceiveBytes
+	return h.ID, d
+}
+
+// Widen returns the size to which the receive buffer of a connection grows for a large body.
+func (l *Ledger) Widen(id HolderID) int64 {
+	h := l.Holders[id]
+	if h == nil || h.IsClosing {
+		return 0
+	}
+	h.ReceiveBytes = l.Receive.Widen(h.ReceiveBytes)
+	return h.ReceiveBytes
 }
 
 // Leave removes a connection that has ended.
@@ -114,6 +131,7 @@
 	} else {
 		l.Conns--
 		l.Used -= h.total()
+		l.Receive.Return(h.ReceiveBytes)
 	}
 	delete(l.Holders, id)
 }
@@ -130,6 +148,7 @@
 		l.Closing--
 		l.Conns++
 		l.Used += h.total()
+		l.Receive.Used += h.ReceiveBytes
 	}
 	if s == StageIdle && !h.IsClosing {
 		l.Used -= h.Bytes
@@ -177,9 +196,9 @@
 	}
 }
 
-// Reserve asks for n bytes for a response, to which the whole budget is open.
-func (l *Ledger) Reserve(n int64, now time.Time) Decision {
-	d := l.makeRoom(l.Used+n-l.Limits.Bytes, 0, now)
+// Reserve asks for n more bytes for a response that then holds size bytes. The last part of the budget is for small ones.
+func (l *Ledger) Reserve(n, size int64, now time.Time) Decision {
+	d := l.makeRoom(l.Used+n-l.Limits.replyLimit(size), 0, now)
 	if d.Granted {
 		l.Used += n
 	}
@@ -233,6 +252,7 @@
 	l.Conns--
 	l.Closing++
 	l.Used -= h.total()
+	l.Receive.Return(h.ReceiveBytes)
 	return Closing{ID: h.ID, Reason: r, Stage: h.Stage, Bytes: h.Bytes, Stalled: now.Sub(h.ProgressAt)}
 }
 
--- a/core/dtintake/ledger_test.go
+++ b/core/dtintake/ledger_test.go
@@ -68,7 +68,7 @@
 			id, ok := r.open()
 			r.Expect(ok && r.send(id, ordinaryBytes)).To(BeTrue(), "an ordinary request in second %d", second)
 			r.ledger.SetStage(id, StageRunning, r.now)
-			r.Expect(r.apply(r.ledger.Reserve(1<<20, r.now))).To(BeTrue(), "its response")
+			r.Expect(r.apply(r.ledger.Reserve(1<<20, 1<<20, r.now))).To(BeTrue(), "its response")
 			r.ledger.Release(1 << 20)
 			r.ledger.Leave(id)
 		}
@@ -198,8 +198,25 @@
 		g.Expect(2*l.MaxConns + l.MaxIdleServerConns + l.MaxPeers + 2*l.MaxTunnels + 2*l.MaxAuxConns).To(BeNumerically("<", 4_100-fileDescriptors))
 	}
 	unknown := LimitsFor(0, 0)
-	g.Expect(unknown).To(Equal(Limits{Bytes: defaultBytes, MaxConns: 4_096, MaxPeers: 2_048, MaxTunnels: maxTunnels, MaxAuxConns: maxAuxConns, MaxIdleServerConns: maxConns}))
-	g.Expect(LimitsFor(1, 1)).To(Equal(Limits{MaxConns: minConns, MaxPeers: minConns, MaxTunnels: 1, MaxAuxConns: 1, MaxIdleServerConns: 1}))
+	g.Expect(unknown).To(Equal(Limits{
+		Bytes: defaultBytes, MaxConns: 4_096, MaxPeers: 2_048, MaxTunnels: maxTunnels, MaxAuxConns: maxAuxConns, MaxIdleServerConns: maxConns,
+		CallerReceiveBytes: 96 << 20, ServerReceiveBytes: 96 << 20, TunnelReceiveBytes: 32 << 20, PeerReceiveBytes: 32 << 20,
+	}))
+	g.Expect(LimitsFor(1, 1)).To(Equal(Limits{
+		MaxConns: minConns, MaxPeers: minConns, MaxTunnels: 1, MaxAuxConns: 1, MaxIdleServerConns: 1,
+		CallerReceiveBytes: 384 << 10, ServerReceiveBytes: 384 << 10, TunnelReceiveBytes: 128 << 10, PeerReceiveBytes: 128 << 10,
+	}))
+}
+
+// TestLimitsLeaveRoomForEachPart checks that the runtime, the receive buffers and the program together stay within the memory of a process.
+func TestLimitsLeaveRoomForEachPart(t *testing.T) {
+	g := NewWithT(t)
+	for _, memoryMB := range []int64{48, 64, 96, 128, 160, 284, 536} {
+		l := LimitsFor(memoryMB<<20, 4_100)
+		receive := l.CallerReceiveBytes + l.ServerReceiveBytes + l.TunnelReceiveBytes + l.PeerReceiveBytes
+		g.Expect(l.RuntimeBytes+receive+programBytes).To(BeNumerically("<=", memoryMB<<20), "%d MB", memoryMB)
+		g.Expect(l.Bytes).To(BeNumerically("<=", l.RuntimeBytes/2))
+	}
 }
 
 // TestHeadIsNotClosedForMemory guards against ordinary callers whose connections are closed under a crowd: on a busy machine
--- a/core/dtintake/limits.go
+++ b/core/dtintake/limits.go
@@ -12,11 +12,18 @@
 
 // Parts of the memory and the descriptors of a process.
 const (
-	memoryPercent      = 35 // The Go runtime is held to 70%, and needs room for garbage.
+	runtimePercent     = 70       // Of the memory, for the Go runtime. A process with little memory has less, as the program itself takes its part.
+	receivePercent     = 20       // Of the memory, for receive buffers.
+	programBytes       = 16 << 20 // Of the resident set, beside what the runtime counts.
+	minRuntimePercent  = 25       // Of the memory.
+	percent            = 100
+	budgetPart         = 2  // One in so many bytes of the runtime's part is for callers. The rest is for state and garbage.
 	largeBodyEighths   = 5  // Of the budget, for connections and bodies of any size.
 	smallBodyEighths   = 6  // Of the budget, for those and small bodies.
 	tinyBodyEighths    = 7  // Of the budget, for those and tiny bodies. The rest is for responses.
-	connEighths        = 4  // Of the budget, for connections that hold nothing else.
+	largeReplySixteens = 15 // Of the budget, for all of these and large responses.
+	sixteens           = 16
+	connEighths        = 4 // Of the budget, for connections that hold nothing else.
 	eighths            = 8
 	fileDescriptors    = 200 // Reserved for files.
 	callerDescriptors  = 4   // One in so many of the rest is for callers; a request needs one more to a server.
@@ -33,24 +40,41 @@
 	maxPeers           = 4096
 	auxConnDescriptors = 32 // One in so many of the descriptors may be used by callers of the readiness or the metrics port.
 	maxAuxConns        = 256
+	callerReceive      = 3 // Eighths of the receive buffers that are for connections of callers.
+	serverReceive      = 3 // For connections to servers.
+	tunnelReceive      = 1 // For tunnels of other routers.
+	peerReceive        = 1 // For connections of other routers, and to the other ports.
 )
 
 // Limits are the bounds of one process.
 type Limits struct {
 	Bytes              int64 // That connections, bodies and responses may hold together.
+	RuntimeBytes       int64 // That the Go runtime may use before it collects garbage more often; zero for no limit.
 	MaxConns           int   // Connections of callers.
 	MaxPeers           int   // Connections of other routers, without tunnels.
 	MaxTunnels         int   // Tunnels opened for other routers.
 	MaxAuxConns        int   // Connections to the readiness port, and to the metrics port.
 	MaxIdleServerConns int   // Idle connections to servers.
+
+	// Receive buffers of the kernel, by the kind of their connections.
+	CallerReceiveBytes int64
+	ServerReceiveBytes int64
+	TunnelReceiveBytes int64
+	PeerReceiveBytes   int64
 }
 
 // LimitsFor returns the limits of a process that may use memoryBytes and that many descriptors; zero stands for unknown.
 func LimitsFor(memoryBytes int64, descriptors int) Limits {
 	l := Limits{Bytes: defaultBytes, MaxPeers: maxPeers, MaxTunnels: maxTunnels, MaxAuxConns: maxAuxConns, MaxIdleServerConns: maxConns}
+	receive := int64(defaultBytes)
 	if memoryBytes > 0 {
-		l.Bytes = memoryBytes / 100 * memoryPercent
+		receive = memoryBytes / percent * receivePercent
+		l.RuntimeBytes = min(memoryBytes/percent*runtimePercent, max(memoryBytes-receive-programBytes, memoryBytes/percent*minRuntimePercent))
+		l.Bytes = l.RuntimeBytes / budgetPart
 	}
+	receive = max(receive, minConns*eighths*NarrowReceiveBytes)
+	l.CallerReceiveBytes, l.ServerReceiveBytes = receive/eighths*callerReceive, receive/eighths*serverReceive
+	l.TunnelReceiveBytes, l.PeerReceiveBytes = receive/eighths*tunnelReceive, receive/eighths*peerReceive
 	l.MaxConns = int(min(l.part(connEighths)/ConnBytes, maxConns))
 	l.MaxTunnels = min(l.MaxTunnels, int(l.part(tunnelEighths)/tunnelBytes))
 	l.MaxPeers = min(l.MaxPeers, int(l.part(peerEighths)/peerBytes))
@@ -70,6 +94,14 @@
 // part returns n eighths of the budget.
 func (l *Limits) part(n int64) int64 { return l.Bytes / eighths * n }
 
+// replyLimit returns how much of the budget may be used once a response with that many bytes has what it asks for.
+func (l *Limits) replyLimit(bytes int64) int64 {
+	if bytes <= SmallBytes {
+		return l.Bytes
+	}
+	return l.Bytes / sixteens * largeReplySixteens
+}
+
 // bodyLimit returns how much of the budget may be used once a request with that many bytes has what it asks for.
 func (l *Limits) bodyLimit(bytes int64) int64 {
 	switch {
--- a/dottereltack/dtbudget/budget.go
+++ b/dottereltack/dtbudget/budget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtintake"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
 // Closed is a connection that is closed, or a request that is refused, for lack of room.
@@ -40,6 +41,9 @@
 	mu       sync.Mutex // Guards the fields below.
 	ledger   *dtintake.Ledger
 	holders  map[dtintake.HolderID]*Holder
+
+	// Receive buffers of connections other than those of callers, by kind.
+	servers, tunnels, peers *ReceiveBuffers
 }
 
 // Option configures a Budget.
@@ -50,7 +54,10 @@
 
 // New returns a budget of which nothing is used.
 func New(l dtintake.Limits, options ...Option) *Budget {
-	b := &Budget{ledger: dtintake.NewLedger(l), holders: map[dtintake.HolderID]*Holder{}}
+	b := &Budget{
+		ledger: dtintake.NewLedger(l), holders: map[dtintake.HolderID]*Holder{},
+		servers: newReceiveBuffers(l.ServerReceiveBytes), tunnels: newReceiveBuffers(l.TunnelReceiveBytes), peers: newReceiveBuffers(l.PeerReceiveBytes),
+	}
 	for _, o := range options {
 		o(b)
 	}
@@ -60,6 +67,30 @@
 // Limits returns the limits that the budget was created with.
 func (b *Budget) Limits() dtintake.Limits { return b.ledger.Limits }
 
+// Servers returns the receive buffers of connections to servers.
+func (b *Budget) Servers() *ReceiveBuffers {
+	if b == nil {
+		return nil
+	}
+	return b.servers
+}
+
+// Tunnels returns the receive buffers of tunnels for other routers, on both sides.
+func (b *Budget) Tunnels() *ReceiveBuffers {
+	if b == nil {
+		return nil
+	}
+	return b.tunnels
+}
+
+// Peers returns the receive buffers of connections of other routers.
+func (b *Budget) Peers() *ReceiveBuffers {
+	if b == nil {
+		return nil
+	}
+	return b.peers
+}
+
 // Usage returns what is held now.
 func (b *Budget) Usage() Usage {
 	b.mu.Lock()
@@ -85,16 +116,19 @@
 		b.observe(d.Refused, h)
 		return nil, false
 	}
+	if d.ReceiveBytes > dtintake.NarrowReceiveBytes { // The listener's connections have narrow buffers.
+		dtsocket.SetReceiveBuffer(c, d.ReceiveBytes)
+	}
 	return h, true
 }
 
-// Reserve reports whether a response may hold n more bytes; Release must follow if so.
-func (b *Budget) Reserve(n int64, now time.Time) bool {
+// Reserve reports whether a response may hold n more bytes, and size in all; Release must follow if so.
+func (b *Budget) Reserve(n, size int64, now time.Time) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
-	d := b.ledger.Reserve(n, now)
+	d := b.ledger.Reserve(n, size, now)
 	victims := b.victims(&d)
 	b.mu.Unlock()
 	b.close(&d, victims)
@@ -194,6 +228,19 @@
 	h.budget.mu.Unlock()
 }
 
+// Widen lets the kernel hold more of a large body that arrives, if there is room.
+func (h *Holder) Widen() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	size := h.budget.ledger.Widen(h.id)
+	h.budget.mu.Unlock()
+	if size > 0 {
+		dtsocket.SetReceiveBuffer(h.conn, size)
+	}
+}
+
 // Progress states that n bytes of a body have arrived.
 func (h *Holder) Progress(n int64, now time.Time) {
 	if h == nil {
--- /dev/null
+++ b/dottereltack/dtbudget/receive.go
@@ -0,0 +1,69 @@
+package dtbudget
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/dottereltack/dottereltack/core/dtintake"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
+)
+
+// ReceiveBuffers shares the memory of the kernel's receive buffers among connections of one kind. Its methods may be called by
+// any goroutine; those of a nil ReceiveBuffers grant wide buffers.
+type ReceiveBuffers struct {
+	mu   sync.Mutex // Guards the next field.
+	pool dtintake.ReceivePool
+}
+
+func newReceiveBuffers(limit int64) *ReceiveBuffers {
+	return &ReceiveBuffers{pool: dtintake.ReceivePool{Limit: limit}}
+}
+
+// Take returns the buffer of a new connection.
+func (b *ReceiveBuffers) Take() *ReceiveBuffer {
+	if b == nil {
+		return &ReceiveBuffer{Bytes: dtintake.WideReceiveBytes}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &ReceiveBuffer{Bytes: b.pool.Take(), shared: b}
+}
+
+// Used returns the size of all buffers together, in bytes.
+func (b *ReceiveBuffers) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool.Used
+}
+
+// Dial connects with a buffer of its own, which is to be returned once the connection has been closed.
+func (b *ReceiveBuffers) Dial(ctx context.Context, d net.Dialer, address string) (net.Conn, *ReceiveBuffer, error) {
+	buffer := b.Take()
+	d = dtsocket.WithReceiveBuffer(d, buffer.Bytes)
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		buffer.Return()
+		return nil, nil, err
+	}
+	return c, buffer, nil
+}
+
+// ReceiveBuffer is the kernel's receive buffer of a connection. The methods of a nil ReceiveBuffer do nothing.
+type ReceiveBuffer struct {
+	Bytes  int64
+	shared *ReceiveBuffers // Nil if it is not shared.
+	once   sync.Once
+}
+
+// Return gives the buffer back; calls after the first one do nothing.
+func (r *ReceiveBuffer) Return() {
+	if r == nil || r.shared == nil {
+		return
+	}
+	r.once.Do(func() {
+		r.shared.mu.Lock()
+		r.shared.pool.Return(r.Bytes)
+		r.shared.mu.Unlock()
+	})
+}
--- a/dottereltack/dtrelay/body.go
+++ b/dottereltack/dtrelay/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 )
 
@@ -70,6 +71,9 @@
 		return false
 	}
 	earlier := cap(b.bytes)
+	if earlier <= dtintake.SmallBytes && size > dtintake.SmallBytes {
+		b.holder.Widen()
+	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	b.holder.Shrink(int64(earlier))
 	return true
--- a/dottereltack/dtrelay/limit.go
+++ b/dottereltack/dtrelay/limit.go
@@ -46,7 +46,7 @@
 
 // reserve reports whether n more bytes may be held; release must follow if so.
 func (b *bodyBudget) reserve(n int64) bool {
-	if b.used.Add(n) <= maxHeldBodyBytes && b.shared.Reserve(n, time.Now()) {
+	if b.used.Add(n) <= maxHeldBodyBytes && b.shared.Reserve(n, n, time.Now()) {
 		return true
 	}
 	b.used.Add(-n)
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
 	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 	"github.com/dottereltack/dottereltack/dottereltack/dttunnel"
 )
 
@@ -61,7 +62,7 @@
 
 // New returns a relay that listens on address and accepts connections once Start is called.
 func New(address string, d Dialect, events eventQueue, options ...Option) (*Relay, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := dtsocket.Listen(address, dtintake.NarrowReceiveBytes)
 	if err != nil {
 		return nil, merry.Wrap(err, merry.WithValue("step", "listen_callers"), merry.WithValue("peer", address))
 	}
