dtrelay: responses count from their first byte

Callers saw: the router killed for its memory while many callers do not read. Cause: the first 64 KiB of each response were not part of the budget, and of an event of a stream one of its three copies was counted, and only above that. Change: all that a response or an event takes is part of the budget; the part that only large ones are limited to is counted as before. Evidence: TestBodyBudget asks for it, which failed before (nothing was counted).

--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/dottereltack/dttunnel"
 )
 
@@ -20,7 +21,7 @@
 	maxResponseHeadLines = 512
 	maxResponseBytes     = 16 << 20
 	maxHeldBodyBytes     = 32 << 20 // Of all responses together.
-	freeBodyBytes        = 64 << 10 // Of each response, not counted in maxHeldBodyBytes, so that large bodies do not displace small ones.
+	freeBodyBytes        = dtintake.SmallBytes // Of each response, not counted in maxHeldBodyBytes, so that large bodies do not displace small ones.
 	maxEventBytes        = 1 << 20
 	maxResponsesRead     = 4       // Includes interim responses and responses to earlier requests, which are skipped.
 	maxDiscardBytes      = 1 << 20 // Read at most this much of a response that is not forwarded.
@@ -65,7 +66,7 @@
 	mayForward   bool      // ForwardStream has come.
 	waitUntil    time.Time // Until then the server may be silent; see KeepWaiting.
 
-	reservedEventBytes int64 // Part of exchange.reservedBytes.
+	heldEvents heldBytes // Of the stream; part of exchange.held.
 }
 
 // runAttempt sends the request to a server and forwards the response.
@@ -314,8 +315,8 @@
 func (a *attempt) forwardBuffered() {
 	a.conn.patient.extend = nil
 	_ = a.conn.SetReadDeadline(a.send.Deadline)
-	body, reserved, err := a.exchange.relay.bodies.readBody(a.resp.Body)
-	a.exchange.reservedBytes += reserved
+	body, held, err := a.exchange.relay.bodies.readBody(a.resp.Body)
+	a.exchange.held.add(held)
 	if err != nil {
 		a.setTransportOutcome(err)
 		return
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -28,7 +28,7 @@
 	lastEventID string            // ID of the last event sent.
 	endInDoubt  bool              // The last event sent may be the last of the stream: what followed was an end that nothing has proved.
 
-	reservedBytes int64 // Of Relay.bodies, for the bodies of responses; released at the end.
+	held heldBytes // Of Relay.bodies, for the bodies of responses; released at the end.
 
 	mu                 sync.Mutex  // Guards the fields below.
 	conn               *serverConn // Connection of the current attempt, or nil.
@@ -57,7 +57,7 @@
 func (x *exchange) serve() {
 	x.relay.registerExchange(x)
 	defer x.relay.unregisterExchange(x)
-	defer func() { x.relay.bodies.release(x.reservedBytes) }()
+	defer func() { x.relay.bodies.release(x.held) }()
 	x.lastEventID = x.info.LastEventID
 	if !x.relay.events.Offer(x.arrivedEvent()) {
 		x.sendRefusal(dtdispatch.Refuse{Status: statusOverloaded, RetryAfter: overloadRetryAfter})
--- a/dottereltack/dtrelay/limit.go
+++ b/dottereltack/dtrelay/limit.go
@@ -37,52 +37,69 @@
 	return n, err
 }
 
-// bodyBudget limits the memory for response bodies that are held at the same time, beyond a first
-// part of each that is always held. It is part of the budget that is shared with requests.
+// bodyBudget limits the memory for response bodies that are held at the same time. All of it is part of the budget that is
+// shared with requests; what large ones hold is limited further.
 type bodyBudget struct {
-	used   atomic.Int64
+	used   atomic.Int64     // By those that hold more than freeBodyBytes.
 	shared *dtbudget.Budget // Or nil.
 }
 
-// reserve reports whether n more bytes may be held; release must follow if so.
-func (b *bodyBudget) reserve(n int64) bool {
-	if b.used.Add(n) <= maxHeldBodyBytes && b.shared.Reserve(n, n, time.Now()) {
-		return true
+// heldBytes is what responses hold, in bytes.
+type heldBytes struct {
+	total int64
+	large int64 // Of total, by those that hold more than freeBodyBytes.
+}
+
+func (h *heldBytes) add(other heldBytes) {
+	h.total += other.total
+	h.large += other.large
+}
+
+// grow reports whether a response that holds what h says may hold more, as in next; release must follow if so.
+func (b *bodyBudget) grow(h *heldBytes, next heldBytes) bool {
+	if b.used.Add(next.large-h.large) > maxHeldBodyBytes || !b.shared.Reserve(next.total-h.total, next.total, time.Now()) {
+		b.used.Add(h.large - next.large)
+		return false
 	}
-	b.used.Add(-n)
-	return false
+	*h = next
+	return true
 }
 
-func (b *bodyBudget) release(n int64) {
-	b.used.Add(-n)
-	b.shared.Release(n)
+// largePart returns bytes if a body or event of a size is large, or else zero.
+func largePart(size, bytes int64) int64 {
+	if size > freeBodyBytes {
+		return bytes
+	}
+	return 0
+}
+
+func (b *bodyBudget) release(h heldBytes) {
+	b.used.Add(-h.large)
+	b.shared.Release(h.total)
 }
 
-// readBody reads a body of at most maxResponseBytes. It returns the number of bytes reserved, which
+// readBody reads a body of at most maxResponseBytes. It returns what it has reserved, which
 // the caller must release after use, also after an error.
-func (b *bodyBudget) readBody(r io.Reader) (body []byte, reserved int64, err error) {
-	body = make([]byte, 0, readBufferBytes)
+func (b *bodyBudget) readBody(r io.Reader) (body []byte, held heldBytes, err error) {
+	body = make([]byte, 0, readBufferBytes) // Counted with the connection.
 	for len(body) <= maxResponseBytes {
 		if len(body) == cap(body) {
 			size := min(2*int64(cap(body)), maxResponseBytes+1) // One byte more shows that a body is too large.
-			if size > freeBodyBytes && !b.reserve(size-reserved) {
-				return nil, reserved, errBodiesTooLarge
-			}
-			if size > freeBodyBytes {
-				reserved = size
+			if !b.grow(&held, heldBytes{total: size, large: largePart(size, size)}) {
+				return nil, held, errBodiesTooLarge
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return body, reserved, nil
+			return body, held, nil
 		}
 		if err != nil {
-			return nil, reserved, err
+			return nil, held, err
 		}
 	}
-	return nil, reserved, errResponseTooLarge
+	return nil, held, errResponseTooLarge
 }
 
 // discard reads and drops a body and reports whether it has ended within maxDiscardBytes.
--- a/dottereltack/dtrelay/limit_test.go
+++ b/dottereltack/dtrelay/limit_test.go
@@ -21,19 +21,20 @@
 func TestBodyBudget(t *testing.T) {
 	g := NewWithT(t)
 	b := &bodyBudget{}
-	held := int64(0)
+	held := heldBytes{}
 	for range 40 {
 		_, reserved, err := b.readBody(endless{})
 		g.Expect(err).To(HaveOccurred())
-		held += reserved
-		g.Expect(b.used.Load()).To(Equal(held))
+		held.add(reserved)
+		g.Expect(b.used.Load()).To(Equal(held.large))
 	}
-	g.Expect(held).To(BeNumerically("<=", maxHeldBodyBytes))
+	g.Expect(held.large).To(BeNumerically("<=", maxHeldBodyBytes))
 	small := bytes.Repeat([]byte("x"), freeBodyBytes-1)
 	body, reserved, err := b.readBody(bytes.NewReader(small))
 	g.Expect(err).NotTo(HaveOccurred(), "a small body is read while large ones hold the budget")
 	g.Expect(body).To(Equal(small))
-	g.Expect(reserved).To(BeZero())
+	g.Expect(reserved.large).To(BeZero())
+	g.Expect(reserved.total).To(BeNumerically(">=", len(small)), "all of it is part of the shared budget")
 	b.release(held)
 	large := bytes.Repeat([]byte("x"), maxResponseBytes)
 	body, reserved, err = b.readBody(bytes.NewReader(large))
--- a/dottereltack/dtrelay/sse_test.go
+++ b/dottereltack/dtrelay/sse_test.go
@@ -104,7 +104,7 @@
 			}
 			g.Expect(relay.bodies.used.Load()).To(BeNumerically("<=", maxHeldBodyBytes))
 			for _, a := range attempts {
-				relay.bodies.release(a.exchange.reservedBytes)
+				relay.bodies.release(a.exchange.held)
 			}
 			g.Expect(relay.bodies.used.Load()).To(BeZero())
 		})
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -9,8 +9,11 @@
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
-// streamBufferBytes is the size of the read buffer of a stream.
-const streamBufferBytes = 4 << 10
+// Memory that a stream takes.
+const (
+	streamBufferBytes = 4 << 10 // Of its read buffer.
+	eventCopies       = 3       // Of an event: as it arrives, once it is complete, and as a chunk for the caller.
+)
 
 // errCallerWrite is returned if a response can't be written to the caller.
 var errCallerWrite = errors.New("write to caller failed")
@@ -69,15 +72,15 @@
 	if n > maxEventBytes {
 		return errEventTooLarge
 	}
-	if n <= freeBodyBytes || n <= a.reservedEventBytes {
+	if n <= streamBufferBytes || eventCopies*n <= a.heldEvents.total {
 		return nil
 	}
 	size := 2 * n // Appending may double the capacity.
-	if !a.exchange.relay.bodies.reserve(size - a.reservedEventBytes) {
+	earlier := a.heldEvents
+	if !a.exchange.relay.bodies.grow(&a.heldEvents, heldBytes{total: eventCopies * size, large: largePart(n, size)}) {
 		return errBodiesTooLarge
 	}
-	a.exchange.reservedBytes += size - a.reservedEventBytes
-	a.reservedEventBytes = size
+	a.exchange.held.add(heldBytes{total: a.heldEvents.total - earlier.total, large: a.heldEvents.large - earlier.large})
 	return nil
 }
 
