dtrelay: what servers have sent and nobody has read is bounded

Callers saw: streams that break off while the router is killed for its memory. Cause: a stream whose caller does not read is not read either. The kernel holds what the server sends meanwhile, up to megabytes a connection. Change: connections to servers, tunnels of other routers among them, take their receive buffers from a pool: wide ones in calm, small ones once half of it is taken. A connection returns its buffer when it is closed.

--- a/dottereltack/dtmesh/tunnel.go
+++ b/dottereltack/dtmesh/tunnel.go
@@ -35,11 +35,15 @@
 	ServeTunnel(ctx context.Context, c net.Conn, r *TunnelRequest)
 }
 
-// RequestTunnel connects to the mesh of another router and asks for a tunnel; the reply is the next thing to read.
-func RequestTunnel(ctx context.Context, address string, r *TunnelRequest) (net.Conn, error) {
+// RequestTunnel connects to the mesh of another router and asks for a tunnel; the reply is the next thing to read. The
+// connection has a receive buffer of receiveBytes, or that of the system if it is zero.
+func RequestTunnel(ctx context.Context, address string, receiveBytes int64, r *TunnelRequest) (net.Conn, error) {
 	d := net.Dialer{Timeout: tunnelDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: tunnelKeepAliveInterval, Interval: tunnelKeepAliveInterval, Count: tunnelKeepAliveProbes,
 	}}
+	if receiveBytes > 0 {
+		d = dtsocket.WithReceiveBuffer(d, receiveBytes)
+	}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/dottereltack/dtmesh/tunnel_test.go
+++ b/dottereltack/dtmesh/tunnel_test.go
@@ -39,7 +39,7 @@
 	m.Start()
 	defer m.Close()
 	request := TunnelRequest{From: "r1", Server: "s1", Start: 7, Timeout: time.Second}
-	c, err := RequestTunnel(t.Context(), m.Address(), &request)
+	c, err := RequestTunnel(t.Context(), m.Address(), 0, &request)
 	g.Expect(err).NotTo(HaveOccurred())
 	got, err := io.ReadAll(c)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/dottereltack/dtrelay/check.go
+++ b/dottereltack/dtrelay/check.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/dottereltack/dttunnel"
 )
 
@@ -32,7 +33,7 @@
 		return r.checkVia(e)
 	}
 	checked := dtdispatch.ServerChecked{Server: e.Server, Number: e.Number}
-	c, err := r.direct.dial(r.ctx, e.Address, connectCheckTimeout)
+	c, err := r.direct.dial(r.ctx, e.Address, connectCheckTimeout, dtintake.NarrowReceiveBytes)
 	if err != nil {
 		checked.Refused = errors.Is(err, syscall.ECONNREFUSED)
 		return checked
@@ -48,7 +49,7 @@
 	send := &dtdispatch.SendRequest{
 		Server: e.Server, Start: e.Start, Address: e.Address, Via: e.Via, ConnectTimeout: connectCheckTimeout, Deadline: time.Now().Add(viaCheckTimeout),
 	}
-	c, _, err := r.tunnels.connector.Connect(r.ctx, send)
+	c, _, err := r.tunnels.connector.Connect(r.ctx, send, dtintake.NarrowReceiveBytes)
 	if err == nil {
 		_ = c.Close()
 		checked.Connected, checked.Via = true, dttunnel.Via(c)
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 	"github.com/dottereltack/dottereltack/dottereltack/dttunnel"
 )
@@ -46,11 +47,20 @@
 	isStartAsked bool          // The server has been asked for start, or is not to be.
 	idleTimeout  time.Duration // How long the server keeps the connection open.
 	lastUsed     time.Time
+	buffer       *dtbudget.ReceiveBuffer // Returned by Close.
 }
 
-// connector opens a connection to a server; failedVia names the routers that have failed to.
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	err := c.Conn.Close()
+	c.buffer.Return()
+	return err
+}
+
+// connector opens a connection to a server whose receive buffer has a size in bytes; failedVia names the routers that have
+// failed to.
 type connector interface {
-	Connect(ctx context.Context, send *dtdispatch.SendRequest) (c net.Conn, failedVia []string, err error)
+	Connect(ctx context.Context, send *dtdispatch.SendRequest, receiveBytes int64) (c net.Conn, failedVia []string, err error)
 }
 
 // directConnector connects to servers without another router.
@@ -59,8 +69,8 @@
 func newDirectConnector() *directConnector { return &directConnector{dialer: dtsocket.ServerDialer()} }
 
 // Connect implements connector.
-func (d *directConnector) Connect(ctx context.Context, send *dtdispatch.SendRequest) (net.Conn, []string, error) {
-	c, err := d.dial(ctx, send.Address, send.ConnectTimeout)
+func (d *directConnector) Connect(ctx context.Context, send *dtdispatch.SendRequest, receiveBytes int64) (net.Conn, []string, error) {
+	c, err := d.dial(ctx, send.Address, send.ConnectTimeout, receiveBytes)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -71,20 +81,23 @@
 	return c, nil, nil
 }
 
-func (d *directConnector) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+func (d *directConnector) dial(ctx context.Context, address string, timeout time.Duration, receiveBytes int64) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return d.dialer.DialContext(ctx, "tcp", address)
+	dialer := dtsocket.WithReceiveBuffer(d.dialer, receiveBytes)
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // tunnelConnector connects to servers by way of other routers.
 type tunnelConnector struct{ dialer dttunnel.Dialer }
 
 // Connect implements connector.
-func (t *tunnelConnector) Connect(ctx context.Context, send *dtdispatch.SendRequest) (net.Conn, []string, error) {
+func (t *tunnelConnector) Connect(ctx context.Context, send *dtdispatch.SendRequest, receiveBytes int64) (net.Conn, []string, error) {
 	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
 	defer cancel()
-	c, failedVia, err := t.dialer.Dial(ctx, send.Via, dttunnel.Target{Server: send.Server, Start: send.Start}, send.ConnectTimeout)
+	dialer := t.dialer
+	dialer.ReceiveBytes = receiveBytes
+	c, failedVia, err := dialer.Dial(ctx, send.Via, dttunnel.Target{Server: send.Server, Start: send.Start}, send.ConnectTimeout)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -94,7 +107,8 @@
 // idlePool keeps idle connections to backend servers by address. Tunnels have a pool of their own.
 type idlePool struct {
 	connector connector
-	mu        sync.Mutex // Guards the next two fields.
+	buffers   *dtbudget.ReceiveBuffers // Of the connections.
+	mu        sync.Mutex               // Guards the next two fields.
 	idle      map[string][]*serverConn
 	closed    bool
 	maxIdle   int // Connections to all addresses; zero for no limit.
@@ -165,15 +179,17 @@
 
 // connect returns a new connection.
 func (p *idlePool) connect(ctx context.Context, send *dtdispatch.SendRequest) (*serverConn, error) {
-	c, failedVia, err := p.connector.Connect(ctx, send)
+	buffer := p.buffers.Take()
+	c, failedVia, err := p.connector.Connect(ctx, send, buffer.Bytes)
 	if err != nil {
+		buffer.Return()
 		return nil, err
 	}
 	patient := &patientReader{r: c}
 	limiter := &headLimiter{r: patient}
 	return &serverConn{
 		Conn: c, patient: patient, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), idleTimeout: defaultServerIdleTimeout,
-		openedAt: time.Now(), via: dttunnel.Via(c), failedVia: failedVia,
+		openedAt: time.Now(), via: dttunnel.Via(c), failedVia: failedVia, buffer: buffer,
 	}, nil
 }
 
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -80,6 +80,7 @@
 	}
 	r.bodies.shared = r.budget
 	r.pool.maxIdle = r.budget.Limits().MaxIdleServerConns
+	r.pool.buffers, r.tunnels.buffers = r.budget.Servers(), r.budget.Servers()
 	r.SetLimits(dtdispatch.Limits{})
 	return r, nil
 }
--- a/dottereltack/dtrelay/tunnel_test.go
+++ b/dottereltack/dtrelay/tunnel_test.go
@@ -454,6 +454,6 @@
 	p.Expect([]any{got.result.Outcome, got.result.FailedVia}).To(Equal([]any{dtdispatch.OutcomeUnreachable, []string{"r2"}}))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, _, err = p.relay.tunnels.connector.Connect(ctx, &dtdispatch.SendRequest{Via: p.reducer.via, Deadline: time.Now().Add(time.Second), ConnectTimeout: time.Second})
+	_, _, err = p.relay.tunnels.connector.Connect(ctx, &dtdispatch.SendRequest{Via: p.reducer.via, Deadline: time.Now().Add(time.Second), ConnectTimeout: time.Second}, 0)
 	p.Expect(errors.As(err, new(*dttunnel.OpenError))).To(BeTrue())
 }
--- a/dottereltack/dttunnel/dial.go
+++ b/dottereltack/dttunnel/dial.go
@@ -17,7 +17,8 @@
 
 // Dialer connects to servers by way of other routers.
 type Dialer struct {
-	From string // Name of this router.
+	From         string // Name of this router.
+	ReceiveBytes int64  // Size of the receive buffer of a tunnel; zero for that of the system.
 }
 
 // Target is the server to connect to.
@@ -68,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout+replyMargin)
 	defer cancel()
 	request := &dtmesh.TunnelRequest{From: d.From, Server: target.Server, Start: target.Start, Timeout: timeout}
-	c, err := dtmesh.RequestTunnel(ctx, via.Address, request)
+	c, err := dtmesh.RequestTunnel(ctx, via.Address, d.ReceiveBytes, request)
 	if err != nil {
 		return nil, reply{}, err
 	}
