dttunnel, dtmesh: what arrives for tunnels and from peers is bounded

Callers saw: requests of another router, cut off from servers, that break off while the router that helps it is killed for its memory. Cause: a tunnel is read no faster than the other router takes it. What servers send meanwhile lay in the kernel of both routers without a bound; so did what arrives on connections of peers while the process is busy.

--- a/dottereltack/dtmesh/mesh.go
+++ b/dottereltack/dtmesh/mesh.go
@@ -14,7 +14,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/core/dtwire"
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtloop"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
@@ -61,7 +63,8 @@
 	tunnels    tunnelServer // Nil if the router opens none.
 	meter      meter        // Nil if nothing is counted.
 	listener   net.Listener
-	ctx        context.Context //nolint:containedctx // Canceled by Close to stop the goroutines.
+	buffers    *dtbudget.ReceiveBuffers // Of the connections that peers open; nil if they are not shared.
+	ctx        context.Context          //nolint:containedctx // Canceled by Close to stop the goroutines.
 	cancel     context.CancelFunc
 	mu         sync.Mutex       // Guards the next three fields.
 	links      map[string]*link // By router name.
@@ -94,9 +97,12 @@
 // WithMaxInbound sets how many connections of other routers, tunnels among them, may be open at the same time.
 func WithMaxInbound(n int) Option { return func(m *Mesh) { m.maxInbound = n } }
 
+// WithReceiveBuffers sets what the receive buffers of connections that peers open are taken from.
+func WithReceiveBuffers(b *dtbudget.ReceiveBuffers) Option { return func(m *Mesh) { m.buffers = b } }
+
 // New returns a mesh that listens on address and accepts connections once Start is called.
 func New(self, address string, events eventQueue, options ...Option) (*Mesh, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := dtsocket.Listen(address, dtintake.NarrowReceiveBytes)
 	if err != nil {
 		return nil, merry.Wrap(err, merry.WithValue("step", "listen_peers"), merry.WithValue("peer", address))
 	}
@@ -276,9 +282,12 @@
 			_ = c.Close()
 			continue
 		}
+		buffer := m.buffers.Take()
+		dtsocket.SetReceiveBuffer(c, buffer.Bytes)
 		m.wg.Go(func() {
 			m.receiveLoop(c)
 			_ = c.Close()
+			buffer.Return()
 			m.mu.Lock()
 			delete(m.inbound, c)
 			m.mu.Unlock()
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -111,9 +111,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n.Tunnels = dttunnel.NewServer(n.Loop, n.Meter, dttunnel.WithMaxTunnels(n.Limits.MaxTunnels))
+	n.Tunnels = dttunnel.NewServer(n.Loop, n.Meter, dttunnel.WithMaxTunnels(n.Limits.MaxTunnels), dttunnel.WithReceiveBuffers(n.budget.Tunnels()))
 	n.Meter.Set.NewGauge("dottereltack_tunnels_open", func() float64 { return float64(n.Tunnels.Open()) })
-	n.Mesh, err = dtmesh.New(settings.State.RouterName, settings.PeersAddress, n.Loop, dtmesh.WithTunnels(n.Tunnels), dtmesh.WithMeter(n.Meter), dtmesh.WithMaxInbound(n.Limits.MaxPeers+n.Limits.MaxTunnels))
+	n.Mesh, err = dtmesh.New(settings.State.RouterName, settings.PeersAddress, n.Loop, dtmesh.WithTunnels(n.Tunnels), dtmesh.WithMeter(n.Meter),
+		dtmesh.WithMaxInbound(n.Limits.MaxPeers+n.Limits.MaxTunnels), dtmesh.WithReceiveBuffers(n.budget.Peers()))
 	if err != nil {
 		n.Relay.Close()
 		return nil, err
--- a/dottereltack/dttunnel/server.go
+++ b/dottereltack/dttunnel/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtmesh"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
@@ -49,6 +50,7 @@
 	events  eventQueue
 	meter   meter
 	dialer  net.Dialer
+	buffers *dtbudget.ReceiveBuffers // Of the connections to servers; nil if they are not shared.
 	maxOpen int64
 	last    atomic.Uint64
 	open    atomic.Int64
@@ -64,6 +66,9 @@
 // WithMaxTunnels sets how many tunnels may be open at the same time.
 func WithMaxTunnels(n int) Option { return func(s *Server) { s.maxOpen = int64(n) } }
 
+// WithReceiveBuffers sets what the receive buffers of the connections to servers are taken from.
+func WithReceiveBuffers(b *dtbudget.ReceiveBuffers) Option { return func(s *Server) { s.buffers = b } }
+
 // NewServer returns a server whose requests the reducer behind events decides on.
 func NewServer(events eventQueue, m meter, options ...Option) *Server {
 	s := &Server{
@@ -204,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.ConnectTimeout)
 	defer cancel()
 	dialed := dtdispatch.TunnelDialed{Server: id, StartedAt: time.Now()}
-	c, err := s.dialer.DialContext(ctx, "tcp", e.Address)
+	c, buffer, err := s.buffers.Dial(ctx, s.dialer, e.Address)
 	if err != nil {
 		result := resultOf(err)
 		if result != ResultRefused {
@@ -216,9 +221,23 @@
 	s.events.Offer(dialed)
 	if err := dtsocket.SetUserTimeout(c, unackedTimeout); err != nil {
 		_ = c.Close()
+		buffer.Return()
 		return nil, reply{Result: ResultRefused, Detail: err.Error()}
 	}
-	return c, reply{Result: ResultOpened}
+	return &serverConn{Conn: c, buffer: buffer}, reply{Result: ResultOpened}
+}
+
+// serverConn is a connection to a server that returns its receive buffer once it is closed.
+type serverConn struct {
+	net.Conn
+	buffer *dtbudget.ReceiveBuffer
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	err := c.Conn.Close()
+	c.buffer.Return()
+	return err
 }
 
 // resultOf returns the result of a request for a tunnel whose connection to the server has failed with err.
