dtrouter: what arrives at the own interface and is not read is bounded

Callers saw: connections that break off while the router is killed for its memory. Cause: as at the platform's interface, the kernel holds what follows a running request, and what servers and peers send while they are not read. Change: callers, peers and operators connect to listeners with small receive buffers; callers, peers and connections to servers have their pools. Where the settings name the descriptors, connections of peers have their part of them.

--- a/dottereltack/dtcommand/command.go
+++ b/dottereltack/dtcommand/command.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/dottereltack/dottereltack/core/dtconfig"
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/dottereltack/dtlog"
 	"github.com/dottereltack/dottereltack/dottereltack/dtoperator"
 	"github.com/dottereltack/dottereltack/dottereltack/dtrouter"
@@ -120,12 +121,9 @@
 	return nil
 }
 
-// memoryLimitPercent is the part of the memory that the Go runtime may use before it collects garbage more often.
-const memoryLimitPercent = 70
-
 func setMemoryLimit(host *dtconfig.Host) {
 	const mebibyte = 1 << 20
-	if host.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(host.MemoryMB) * mebibyte / 100 * memoryLimitPercent)
+	if n := dtintake.LimitsFor(int64(host.MemoryMB)*mebibyte, 0).RuntimeBytes; n > 0 {
+		debug.SetMemoryLimit(n)
 	}
 }
--- a/dottereltack/dtlink/transport.go
+++ b/dottereltack/dtlink/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -12,8 +13,10 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/core/dtstate"
 	"github.com/dottereltack/dottereltack/core/dtwire"
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
@@ -64,6 +67,8 @@
 	Keys    []string // Shared keys for the handshake.
 	// ControlBytesPerSecond limits the control traffic that is sent; zero means no limit.
 	ControlBytesPerSecond int
+	MaxInbound            int                      // Connections of other routers at the same time; zero for the default.
+	Buffers               *dtbudget.ReceiveBuffers // Receive buffers of these; nil if they are not shared.
 }
 
 // Transport sends and receives the messages of one router over TCP.
@@ -84,7 +89,8 @@
 // New returns a transport that listens on the address of its settings and accepts connections
 // once Start is called.
 func New(settings Settings, h Handler, c clock, m meter) (*Transport, error) {
-	listener, err := net.Listen("tcp", settings.Address)
+	settings.MaxInbound = cmp.Or(settings.MaxInbound, maxInboundConns)
+	listener, err := dtsocket.Listen(settings.Address, dtintake.NarrowReceiveBytes)
 	if err != nil {
 		return nil, merry.Wrap(err, merry.WithValue("step", "listen_peers"), merry.WithValue("peer", settings.Address))
 	}
@@ -125,7 +131,7 @@
 		c, err := t.listener.Accept()
 		t.mu.Lock()
 		closed := t.closed
-		hasRoom := len(t.inbound) < maxInboundConns
+		hasRoom := len(t.inbound) < t.settings.MaxInbound
 		if err == nil && !closed && hasRoom {
 			t.inbound[c] = struct{}{}
 		}
@@ -148,11 +154,14 @@
 
 // serveInbound reads the messages of one inbound connection until it fails.
 func (t *Transport) serveInbound(c net.Conn) {
+	buffer := t.settings.Buffers.Take()
+	dtsocket.SetReceiveBuffer(c, buffer.Bytes)
 	defer func() {
 		t.mu.Lock()
 		delete(t.inbound, c)
 		t.mu.Unlock()
 		_ = c.Close()
+		buffer.Return()
 	}()
 	r := bufio.NewReaderSize(c, bufferBytes)
 	w := bufio.NewWriter(c)
--- a/dottereltack/dtoperator/server.go
+++ b/dottereltack/dtoperator/server.go
@@ -10,7 +10,9 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/core/dtstate"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 	"github.com/dottereltack/dottereltack/dottereltack/dttimeline"
 )
 
@@ -125,7 +127,7 @@
 
 // New returns a server that listens on address but does not serve yet.
 func New(address, key string, l loop, events eventSource) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := dtsocket.Listen(address, dtintake.NarrowReceiveBytes)
 	if err != nil {
 		return nil, merry.Wrap(err, merry.WithValue("step", "listen_operators"), merry.WithValue("peer", address))
 	}
--- a/dottereltack/dtrouter/router.go
+++ b/dottereltack/dtrouter/router.go
@@ -11,11 +11,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dottereltack/dottereltack/core/dtconfig"
+	"github.com/dottereltack/dottereltack/core/dtintake"
 	"github.com/dottereltack/dottereltack/core/dtstate"
 	"github.com/dottereltack/dottereltack/dottereltack/dtgate"
 	"github.com/dottereltack/dottereltack/dottereltack/dtlink"
 	"github.com/dottereltack/dottereltack/dottereltack/dtmeter"
 	"github.com/dottereltack/dottereltack/dottereltack/dtserver"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 	"github.com/dottereltack/dottereltack/dottereltack/dtstore"
 	"github.com/dottereltack/dottereltack/dottereltack/dttimeline"
 )
@@ -62,12 +64,20 @@
 		o(r)
 	}
 	self := dtstate.RouterID(host.Router)
-	links, err := dtlink.New(dtlink.Settings{Self: self, Address: host.PeersAddress, Keys: host.PeerKeys, ControlBytesPerSecond: host.ControlBytesPerSecond}, r, r.Clock, r.Meter)
+	budget := r.newBudget()
+	maxPeers := 0
+	if host.MaxDescriptors > 0 {
+		maxPeers = budget.Limits().MaxPeers
+	}
+	links, err := dtlink.New(dtlink.Settings{
+		Self: self, Address: host.PeersAddress, Keys: host.PeerKeys, ControlBytesPerSecond: host.ControlBytesPerSecond,
+		MaxInbound: maxPeers, Buffers: budget.Peers(),
+	}, r, r.Clock, r.Meter)
 	if err != nil {
 		return nil, err
 	}
 	r.links = links
-	r.callerListener, err = net.Listen("tcp", host.CallersAddress)
+	r.callerListener, err = dtsocket.Listen(host.CallersAddress, dtintake.NarrowReceiveBytes)
 	if err != nil {
 		links.Close()
 		return nil, merry.Wrap(err, merry.WithValue("step", "listen_callers"), merry.WithValue("peer", host.CallersAddress))
@@ -77,10 +87,10 @@
 		Self: self, Address: host.AdvertisedAddress(), OperatorsAddress: host.OperatorsAddress, Start: start,
 		Domain: dtstate.FailureDomain(host.FailureDomain), Region: dtstate.Region(host.Region), Seeds: host.Seeds,
 	}, now), host.QueueCapacity)
-	r.servers = dtserver.New(host.PeersAddress, r.Meter)
+	r.servers = dtserver.New(host.PeersAddress, r.Meter, dtserver.WithReceiveBuffers(budget.Servers()))
 	r.Store = dtstore.New(host.PlatformAddress, host.PeersAddress, r.Meter)
 	r.Gateway = dtgate.New(dtgate.Settings{
-		Router: host.Router, Start: start, MaxBodyBytes: host.MaxBodyBytes, ResumeTokenKey: host.PeerKeys[0], Budget: r.newBudget(),
+		Router: host.Router, Start: start, MaxBodyBytes: host.MaxBodyBytes, ResumeTokenKey: host.PeerKeys[0], Budget: budget,
 	}, r.Loop, r.servers, r.Meter, r)
 	r.Gateway.AddHealthRoutes(r)
 	return r, nil
--- a/dottereltack/dtserver/client.go
+++ b/dottereltack/dtserver/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/dottereltack/dottereltack/core/dtapi"
 	"github.com/dottereltack/dottereltack/core/dtstate"
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtlink"
 )
 
@@ -53,14 +54,27 @@
 type Client struct {
 	pool         idlePool
 	dialer       net.Dialer
+	buffers      *dtbudget.ReceiveBuffers // Of the connections; nil if they are not shared.
 	meter        meter
 	commandCount atomic.Uint64 // Of status requests and commands, whose IDs follow from it.
 }
 
+// Option configures a Client.
+type Option func(*Client)
+
+// WithReceiveBuffers sets what the receive buffers of the connections are taken from.
+func WithReceiveBuffers(b *dtbudget.ReceiveBuffers) Option {
+	return func(c *Client) { c.buffers = b }
+}
+
 // New returns a client whose connections originate from the IP address of ownAddress,
 // the address that the host listens on.
-func New(ownAddress string, m meter) *Client {
-	return &Client{meter: m, dialer: net.Dialer{Timeout: dialTimeout, LocalAddr: dtlink.LocalAddr(ownAddress)}}
+func New(ownAddress string, m meter, options ...Option) *Client {
+	c := &Client{meter: m, dialer: net.Dialer{Timeout: dialTimeout, LocalAddr: dtlink.LocalAddr(ownAddress)}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Close closes the idle connections.
@@ -110,7 +124,7 @@
 			return cn, nil
 		}
 	}
-	return dial(&c.dialer, req.Address)
+	return dial(&c.dialer, c.buffers, req.Address)
 }
 
 func (req *Request) fillHTTPRequest(httpReq *fasthttp.Request) {
--- a/dottereltack/dtserver/conn.go
+++ b/dottereltack/dtserver/conn.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
@@ -26,6 +28,14 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	lastUsed time.Time
+	buffer   *dtbudget.ReceiveBuffer // Returned by Close.
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	err := c.Conn.Close()
+	c.buffer.Return()
+	return err
 }
 
 // idlePool keeps idle connections by address; at-most-once requests never take one from it.
@@ -82,12 +92,12 @@
 	p.idle = nil
 }
 
-func dial(d *net.Dialer, address string) (*serverConn, error) {
-	c, err := d.Dial("tcp", address)
+func dial(d *net.Dialer, buffers *dtbudget.ReceiveBuffers, address string) (*serverConn, error) {
+	c, buffer, err := buffers.Dial(context.Background(), *d, address)
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), writer: bufio.NewWriter(c)}, nil
+	return &serverConn{Conn: c, buffer: buffer, reader: bufio.NewReaderSize(c, readBufferBytes), writer: bufio.NewWriter(c)}, nil
 }
 
 // writeRequest writes a request. If it fails, the server may still have received the
