dtgate: a response is part of the budget

Callers saw nothing yet: found while reading where the own interface holds for others. Cause: the own interface read each response of up to 16 MB whole, and held it three times, beside a budget that counted only requests. Change: a response asks for its size as it is read, and gives it back with the request. One that finds no room ends its attempt as cut.

--- a/core/dtintake/ledger.go
+++ b/core/dtintake/ledger.go
@@ -175,16 +175,31 @@
 	if h == nil {
 		return Decision{}
 	}
+	return l.take(h, n, l.Limits.bodyLimit(h.Bytes+n), now)
+}
+
+// TakeReply asks for n more bytes for the response to the request of a connection, which then holds size bytes. They are given
+// back with the request.
+func (l *Ledger) TakeReply(id HolderID, n, size int64, now time.Time) Decision {
+	h := l.Holders[id]
+	if h == nil {
+		return Decision{}
+	}
+	return l.take(h, n, l.Limits.replyLimit(size), now)
+}
+
+// take asks for n more bytes for a connection, where at most limit may be used.
+func (l *Ledger) take(h *Holder, n, limit int64, now time.Time) Decision {
 	d := Decision{}
 	if !h.IsClosing {
-		d = l.makeRoom(l.Used+n-l.Limits.bodyLimit(h.Bytes+n), id, now)
+		d = l.makeRoom(l.Used+n-limit, h.ID, now)
 	}
 	if d.Granted {
 		h.Bytes += n
 		l.Used += n
 		return d
 	}
-	d.Refused = Closing{ID: id, Reason: ReasonNoMemory, Stage: h.Stage, Bytes: h.Bytes, Stalled: now.Sub(h.ProgressAt)}
+	d.Refused = Closing{ID: h.ID, Reason: ReasonNoMemory, Stage: h.Stage, Bytes: h.Bytes, Stalled: now.Sub(h.ProgressAt)}
 	return d
 }
 
--- a/dottereltack-load/dtfleet/intake_test.go
+++ b/dottereltack-load/dtfleet/intake_test.go
@@ -51,6 +51,7 @@
 		"announced only":            {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.AnnouncedOnly}}},
 		"announced chunk":           {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.AnnouncedChunk}}},
 		"endless heads":             {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.EndlessHead}}},
+		"unread responses":          {callersOf, []dtcrowd.Group{{Size: crowdOfBodies, Form: dtcrowd.UnreadResponse}}},
 		"behind requests":           {callersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.BehindRequest}}},
 		"at the port of peers":      {peersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.Flood}, {Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
 		"at the port of operators":  {operatorsOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.BehindRequest}, {Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
--- a/dottereltack-stand/dtcrowd/form.go
+++ b/dottereltack-stand/dtcrowd/form.go
@@ -25,6 +25,9 @@
 // Form sends what a client sends over its connection. It returns once all has been sent, or the connection has failed.
 type Form func(c *Client) error
 
+// silence is how long a client that does not read is silent.
+const silence = 8 * time.Second
+
 // Numbers of what the blocks repeat.
 const (
 	plainBlockBytes   = 64 << 10
@@ -129,12 +132,23 @@
 	return writeRepeated(c, c.blocks.plain, floodBytes/plainBlockBytes)
 }
 
+// UnreadResponse sends a whole request of the full size, whose response is as large where the target echoes it, and reads nothing for
+// 8 s.
+func UnreadResponse(c *Client) error {
+	c.narrow()
+	if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", c.Target.Head(c.id("response")), c.Target.BodyBytes); err != nil {
+		return err
+	}
+	if err := writeRepeated(c, c.blocks.plain, c.Target.BodyBytes/plainBlockBytes); err != nil {
+		return err
+	}
+	c.wait(silence)
+	return nil
+}
+
 // UnreadStream asks for a stream whose events are as large as the body that it sends, and reads nothing for 8 s.
 func UnreadStream(c *Client) error {
-	const windowBytes, silence = 4 << 10, 8 * time.Second
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(windowBytes)
-	}
+	c.narrow()
 	if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", c.Target.StreamHead(c.id("stream")), plainBlockBytes, c.blocks.plain); err != nil {
 		return err
 	}
@@ -142,6 +156,14 @@
 	return nil
 }
 
+// narrow has the kernel take little of what the target sends.
+func (c *Client) narrow() {
+	const windowBytes = 4 << 10
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(windowBytes)
+	}
+}
+
 // wait waits for d, and reports whether the crowd is still there.
 func (c *Client) wait(d time.Duration) bool {
 	select {
--- a/dottereltack/dtbudget/budget.go
+++ b/dottereltack/dtbudget/budget.go
@@ -206,9 +206,23 @@
 	if h == nil {
 		return true
 	}
+	return h.take(func(l *dtintake.Ledger) dtintake.Decision { return l.Take(h.id, n, now) })
+}
+
+// GrowReply reports whether the response to the request may take n more bytes, and size in all, which are given back with the
+// request; the refusal is reported to the observer.
+func (h *Holder) GrowReply(n, size int64, now time.Time) bool {
+	if h == nil {
+		return true
+	}
+	return h.take(func(l *dtintake.Ledger) dtintake.Decision { return l.TakeReply(h.id, n, size, now) })
+}
+
+// take carries out what the ledger decides.
+func (h *Holder) take(decide func(l *dtintake.Ledger) dtintake.Decision) bool {
 	b := h.budget
 	b.mu.Lock()
-	d := b.ledger.Take(h.id, n, now)
+	d := decide(b.ledger)
 	victims := b.victims(&d)
 	b.mu.Unlock()
 	b.close(&d, victims)
--- a/dottereltack/dtgate/exchange.go
+++ b/dottereltack/dtgate/exchange.go
@@ -10,9 +10,13 @@
 
 	"github.com/dottereltack/dottereltack/core/dtapi"
 	"github.com/dottereltack/dottereltack/core/dtstate"
+	"github.com/dottereltack/dottereltack/dottereltack/dtbudget"
 	"github.com/dottereltack/dottereltack/dottereltack/dtserver"
 )
 
+// replyCopies is how often a response is held: as it arrives, for the reducer, and as it is written.
+const replyCopies = 3
+
 // maxPendingEffects is the capacity of an exchange's queue of effects.
 const maxPendingEffects = 8
 
@@ -43,6 +47,8 @@
 	sentHash          xxhash.Digest // Hash of the events sent to the caller.
 	skippedHash       xxhash.Digest // Hash of the skipped events, which must equal sentHash.
 	firstByteReceived bool
+	holder            *dtbudget.Holder // Of the caller's connection; nil if what it holds is not counted.
+	replyBytes        int64            // Counted there for the response.
 }
 
 // responsePart is the next part of the response to a caller: an event of a stream, its
@@ -235,7 +241,7 @@
 // readBody reads a response that is not an event stream.
 func (x *exchange) readBody() (responsePart, bool) {
 	x.recordFirstByte()
-	body, err := x.response.ReadBody()
+	body, err := x.response.ReadBody(x.holdReply)
 	if err != nil {
 		x.abortAttempt(err)
 		return responsePart{}, false
@@ -297,3 +303,12 @@
 		text = append(text, deltaContent(p.event)...)
 	}
 }
+
+// holdReply reports whether there is room for a response of a size in bytes, which is held until the caller has it.
+func (x *exchange) holdReply(size int64) bool {
+	if !x.holder.GrowReply(replyCopies*(size-x.replyBytes), replyCopies*size, time.Now()) {
+		return false
+	}
+	x.replyBytes = size
+	return true
+}
--- a/dottereltack/dtgate/handlers.go
+++ b/dottereltack/dtgate/handlers.go
@@ -53,6 +53,9 @@
 // ReasonNone means that the request is to be refused.
 func (g *Gateway) beginExchange(c fiber.Ctx) (*exchange, string, dtstate.Reason) {
 	x := g.newExchange("", "", bodyOf(c))
+	if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
+		x.holder = conn.holder
+	}
 	if g.site.Load() == nil {
 		return x, "", dtstate.ReasonNoConfig
 	}
--- a/dottereltack/dtserver/client_test.go
+++ b/dottereltack/dtserver/client_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return outcome, err
 	}
-	if _, err := resp.ReadBody(); err != nil {
+	if _, err := resp.ReadBody(func(int64) bool { return true }); err != nil {
 		return dtstate.OutcomeCut, err
 	}
 	resp.DiscardRest()
--- a/dottereltack/dtserver/match_test.go
+++ b/dottereltack/dtserver/match_test.go
@@ -62,7 +62,7 @@
 	if err != nil || resp == nil {
 		return "", outcome, err
 	}
-	body, err := resp.ReadBody()
+	body, err := resp.ReadBody(func(int64) bool { return true })
 	resp.DiscardRest()
 	resp.Release()
 	return string(body), outcome, err
--- a/dottereltack/dtserver/response.go
+++ b/dottereltack/dtserver/response.go
@@ -27,6 +27,7 @@
 // Errors of responses that exceed a limit.
 var (
 	errResponseTooLarge = errors.New("response body too large")
+	errNoRoom           = errors.New("no room for the response body")
 	errLineTooLong      = errors.New("line too long")
 )
 
@@ -47,23 +48,43 @@
 }
 
 // ReadBody reads the rest of the body; a truncated body or one of more than maxResponseBytes
-// is an error. One with neither a length nor chunks counts as truncated unless it is a whole JSON
+// is an error, and so is one whose next size in bytes hold does not grant. One with neither a length nor chunks counts as truncated unless it is a whole JSON
 // object or array, since its connection ends in the same way when the server is killed.
-func (r *Response) ReadBody() ([]byte, error) {
+func (r *Response) ReadBody(hold func(size int64) bool) ([]byte, error) {
 	_ = r.conn.SetReadDeadline(time.Now().Add(responseTimeout))
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	body, err := r.readAll(hold)
 	if err != nil {
 		return nil, wrapError(err, "read", r.address)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, wrapError(errResponseTooLarge, "read", r.address)
-	}
 	if r.contentLength == lengthIdentity && !isWholeValue(body) {
 		return nil, wrapError(io.ErrUnexpectedEOF, "read", r.address)
 	}
 	return body, nil
 }
 
+// readAll reads the rest of the body into a buffer that doubles as hold grants it.
+func (r *Response) readAll(hold func(size int64) bool) ([]byte, error) {
+	body := make([]byte, 0, readBufferBytes)
+	for len(body) <= maxResponseBytes {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxResponseBytes+1) // One byte more shows that a body is too large.
+			if !hold(int64(size)) {
+				return nil, errNoRoom
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return nil, errResponseTooLarge
+}
+
 // isWholeValue reports whether a body is a JSON object or array, no part of which is valid by itself.
 func isWholeValue(body []byte) bool {
 	body = bytes.TrimLeft(body, " \t\r\n")
