--- a/dottereltack-stand/dtcrowd/crowd.go
+++ b/dottereltack-stand/dtcrowd/crowd.go
@@ -14,9 +14,10 @@
 // Target is where a crowd sends its requests.
 type Target struct {
 	Address    string
-	BodyBytes  int                    // Largest body that it accepts.
-	Head       func(id string) string // Of a request with a body, but for the fields of its framing and the blank line.
-	StreamHead func(id string) string // The same of a request for a stream of many events; nil if there is none.
+	BodyBytes  int                         // Largest body that it accepts.
+	Head       func(id string) string      // Of a request with a body, but for the fields of its framing and the blank line.
+	StreamHead func(id string) string      // The same of a request for a stream of many events; nil if there is none.
+	Responded  func(id string, status int) // Called with the status of each response to a request; may be nil.
 }
 
 // Group is a number of clients of one form.
@@ -99,6 +100,7 @@
 	if form(client) == nil {
 		sent()
 	}
+	client.readStatus()
 	_, _ = io.Copy(io.Discard, conn)
 	if !c.isOver() {
 		c.Closed.Add(1)
--- a/dottereltack-stand/dtcrowd/form.go
+++ b/dottereltack-stand/dtcrowd/form.go
@@ -16,11 +16,27 @@
 	Index  int // In its group.
 	Round  int
 	blocks *blocks
+	lastID string // Of its request.
 	over   <-chan struct{}
 }
 
-// id returns an ID that no other request of the crowd has.
-func (c *Client) id(form string) string { return fmt.Sprintf("%s-%d-%d", form, c.Index, c.Round) }
+// id returns an ID for its request that no other request of the crowd has.
+func (c *Client) id(form string) string {
+	c.lastID = fmt.Sprintf("%s-%d-%d", form, c.Index, c.Round)
+	return c.lastID
+}
+
+// readStatus reads the status of the response to its request, if there is one.
+func (c *Client) readStatus() {
+	const statusLine, statusAt = len("HTTP/1.1 200"), len("HTTP/1.1 ")
+	line := make([]byte, statusLine)
+	if _, err := io.ReadFull(c, line); err != nil || c.lastID == "" || c.Target.Responded == nil {
+		return
+	}
+	if status, err := strconv.Atoi(string(line[statusAt:])); err == nil {
+		c.Target.Responded(c.lastID, status)
+	}
+}
 
 // Form sends what a client sends over its connection. It returns once all has been sent, or the connection has failed.
 type Form func(c *Client) error
--- a/dottereltack-stand/dtprocess/watch.go
+++ b/dottereltack-stand/dtprocess/watch.go
@@ -13,6 +13,14 @@
 	Descriptors   int
 }
 
+// Add adds a sample.
+func (p *Peak) Add(u *Usage) {
+	p.MemoryBytes = max(p.MemoryBytes, u.MemoryBytes())
+	p.ResidentBytes = max(p.ResidentBytes, u.ResidentBytes)
+	p.UnreadBytes = max(p.UnreadBytes, u.UnreadBytes)
+	p.Descriptors = max(p.Descriptors, u.Descriptors)
+}
+
 // Watch samples a process.
 type Watch struct {
 	pid   int
@@ -39,10 +47,7 @@
 
 func (w *Watch) sample() {
 	u := Read(w.pid)
-	w.peak.MemoryBytes = max(w.peak.MemoryBytes, u.MemoryBytes())
-	w.peak.ResidentBytes = max(w.peak.ResidentBytes, u.ResidentBytes)
-	w.peak.UnreadBytes = max(w.peak.UnreadBytes, u.UnreadBytes)
-	w.peak.Descriptors = max(w.peak.Descriptors, u.Descriptors)
+	w.peak.Add(&u)
 }
 
 // Stop ends the samples and returns the peak.
