--- a/dottereltack/dtbudget/budget.go
+++ b/dottereltack/dtbudget/budget.go
@@ -30,8 +30,9 @@
 
 // Usage is what a process holds.
 type Usage struct {
-	Bytes int64
-	Conns int
+	Bytes        int64
+	Conns        int
+	ReceiveBytes int64 // Size of the receive buffers of callers' connections.
 }
 
 // Budget is the memory and the number of connections that the callers of one process may take. Its methods may be called by
@@ -95,7 +96,7 @@
 func (b *Budget) Usage() Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{Bytes: b.ledger.Used, Conns: b.ledger.Conns + b.ledger.Closing}
+	return Usage{Bytes: b.ledger.Used, Conns: b.ledger.Conns + b.ledger.Closing, ReceiveBytes: b.ledger.Receive.Used}
 }
 
 // Open adds a connection, which others may be closed for. It returns false if there is no place for it; the caller closes it then.
--- a/dottereltack/dtbudget/budget_test.go
+++ b/dottereltack/dtbudget/budget_test.go
@@ -52,7 +52,7 @@
 	g.Expect([]dtintake.Reason{seen[0].Reason, seen[1].Reason, seen[2].Reason}).To(Equal([]dtintake.Reason{dtintake.ReasonForMemory, dtintake.ReasonNoMemory, dtintake.ReasonNoPlace}))
 	g.Expect([]string{seen[0].Request, seen[1].Request, seen[2].Request}).To(Equal([]string{"r-1", "r-1", ""}))
 	stalled.Leave()
-	g.Expect(b.Usage()).To(Equal(dtbudget.Usage{Bytes: 2<<20 + 2*dtintake.ConnBytes, Conns: 2}))
+	g.Expect(b.Usage()).To(Equal(dtbudget.Usage{Bytes: 2<<20 + 2*dtintake.ConnBytes, Conns: 2, ReceiveBytes: 2 * dtintake.WideReceiveBytes}))
 }
 
 // TestIdleConnectionServesARequestThatHasBegun guards against a request that is cut off since its connection was idle when its
--- a/dottereltack/dtrelay/intake_test.go
+++ b/dottereltack/dtrelay/intake_test.go
@@ -87,7 +87,7 @@
 		_, err = io.ReadFull(c, line)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(string(line)).To(Equal("HTTP/1.1 503"), "the answer of the reducer's full queue")
-		g.Eventually(budget.Usage, "5s").Should(Equal(dtbudget.Usage{Bytes: dtintake.ConnBytes, Conns: 1}))
+		g.Eventually(budget.Usage, "5s").Should(Equal(dtbudget.Usage{Bytes: dtintake.ConnBytes, Conns: 1, ReceiveBytes: dtintake.BodyReceiveBytes}))
 		_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		_, _ = io.Copy(io.Discard, c)
 		_ = c.SetReadDeadline(time.Time{})
