--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build run test lint unit measure fuzz soak release upgrade streams mutate tools clean
+.PHONY: build run test lint unit measure fuzz soak crowds release upgrade streams mutate tools clean
 
 build:
 	go build -o bin/ ./dottereltack ./dottereltack-stand ./dottereltack-load
@@ -42,6 +42,9 @@
 soak:
 	go test -count=1 -timeout 0 ./platform/dtsoak -soak.seeds $(SOAK_SEEDS) -soak.first $(or $(SOAK_FIRST),$(shell date +%s)) -soak.for 12s -soak.overlap 5
 
+crowds:
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestSoakWithCrowds -v -crowds.seeds $(SOAK_SEEDS) -crowds.first $(or $(SOAK_FIRST),$(shell date +%s)) -soak.for 12s
+
 release:
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsOfARelease -known.red -release.seeds $(SOAK_SEEDS) -release.first $(or $(SOAK_FIRST),$(shell date +%s))
 
