--- a/dottereltack/dtgate/intake_test.go
+++ b/dottereltack/dtgate/intake_test.go
@@ -113,7 +113,8 @@
 			if tc.framing != "" {
 				_, _ = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"+tc.framing)
 			}
-			_, _ = c.Write(bytes.Repeat([]byte("b"), tc.bodyBytes))
+			_, err = c.Write(bytes.Repeat([]byte("b"), tc.bodyBytes))
+			g.Expect(err).NotTo(HaveOccurred(), "the caller can send all of it before it reads")
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = resp.Body.Close() }()
--- a/dottereltack/dtgate/reply_test.go
+++ b/dottereltack/dtgate/reply_test.go
@@ -31,3 +31,17 @@
 	holder.SetStage(dtintake.StageIdle, now)
 	g.Expect(budget.Usage().Bytes).To(Equal(calm))
 }
+
+// TestRestOfARefusedBodyIsDropped guards against a connection that is reset, so that its caller loses the refusal, as the caller is
+// still sending when it is closed.
+func TestRestOfARefusedBodyIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	own, caller := net.Pipe()
+	c := &callerConn{Conn: own, isRefused: true}
+	closed := make(chan error, 1)
+	go func() { closed <- c.Close() }()
+	_, err := caller.Write(make([]byte, 300<<10))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(caller.Close()).To(Succeed())
+	g.Expect(<-closed).To(Succeed())
+}
--- a/dottereltack/dtsocket/receive_linux.go
+++ b/dottereltack/dtsocket/receive_linux.go
@@ -12,7 +12,7 @@
 const kernelFactor = 2
 
 // SetReceiveBuffer bounds what the kernel holds of what has arrived on c and has not been read, in bytes; it does nothing if c is
-// no TCP connection. A buffer may be widened at any time. One that is narrowed drops what the peer had been allowed to send.
+// no TCP connection or listener. A buffer may be widened at any time. One that is narrowed drops what the peer had been allowed to send.
 func SetReceiveBuffer(c any, bytes int64) {
 	tcp, ok := c.(syscall.Conn)
 	if wrapped, isWrapped := c.(interface{ NetConn() net.Conn }); isWrapped {
@@ -49,9 +49,9 @@
 // Listen listens on a TCP address. The connections that it accepts have receive buffers of a size in bytes, as
 // SetReceiveBuffer sets it, also while they wait to be accepted.
 func Listen(address string, bytes int64) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		setReceiveBuffer(raw, bytes)
-		return nil
-	}}
-	return config.Listen(context.Background(), "tcp", address)
+	ln, err := net.Listen("tcp", address)
+	if err == nil {
+		SetReceiveBuffer(ln, bytes) // The connections inherit it.
+	}
+	return ln, err
 }
