--- a/core/dtintake/limits.go
+++ b/core/dtintake/limits.go
@@ -12,38 +12,38 @@
 
 // Parts of the memory and the descriptors of a process.
 const (
-	runtimePercent     = 70       // Of the memory, for the Go runtime. A process with little memory has less, as the program itself takes its part.
-	receivePercent     = 20       // Of the memory, for receive buffers.
-	programBytes       = 16 << 20 // Of the resident set, beside what the runtime counts.
-	minRuntimePercent  = 25       // Of the memory.
-	percent            = 100
-	budgetPart         = 2  // One in so many bytes of the runtime's part is for callers. The rest is for state and garbage.
-	largeBodyEighths   = 5  // Of the budget, for connections and bodies of any size.
-	smallBodyEighths   = 6  // Of the budget, for those and small bodies.
-	tinyBodyEighths    = 7  // Of the budget, for those and tiny bodies. The rest is for responses.
-	largeReplySixteens = 15 // Of the budget, for all of these and large responses.
-	sixteens           = 16
-	connEighths        = 4 // Of the budget, for connections that hold nothing else.
-	eighths            = 8
-	fileDescriptors    = 200 // Reserved for files.
-	callerDescriptors  = 4   // One in so many of the rest is for callers; a request needs one more to a server.
-	minConns           = 16
-	maxConns           = 64 << 10
-	tunnelEighths      = 2        // Of the budget, for tunnels of other routers.
-	tunnelBytes        = 32 << 10 // Of each tunnel: two buffers and the stacks of two goroutines.
-	tunnelDescriptors  = 16       // One in so many of the descriptors is the number of tunnels, which hold two each.
-	maxTunnels         = 1000
-	peerEighths        = 1        // Of the budget, for connections of other routers.
-	peerBytes          = 16 << 10 // Of each of these.
-	peerDescriptors    = 16       // One in so many of the descriptors.
-	idleDescriptors    = 12       // One in so many of the descriptors is for idle connections to servers.
-	maxPeers           = 4096
-	auxConnDescriptors = 32 // One in so many of the descriptors may be used by callers of the readiness or the metrics port.
-	maxAuxConns        = 256
-	callerReceive      = 3 // Eighths of the receive buffers that are for connections of callers.
-	serverReceive      = 3 // For connections to servers.
-	tunnelReceive      = 1 // For tunnels of other routers.
-	peerReceive        = 1 // For connections of other routers, and to the other ports.
+	runtimePercent       = 70       // Of the memory, for the Go runtime. A process with little memory has less, as the program itself takes its part.
+	receivePercent       = 20       // Of the memory, for receive buffers.
+	programBytes         = 16 << 20 // Of the resident set, beside what the runtime counts.
+	minRuntimePercent    = 25       // Of the memory.
+	percent              = 100
+	budgetPart           = 2  // One in so many bytes of the runtime's part is for callers. The rest is for state and garbage.
+	largeBodyEighths     = 5  // Of the budget, for connections and bodies of any size.
+	smallBodyEighths     = 6  // Of the budget, for those and small bodies.
+	tinyBodyEighths      = 7  // Of the budget, for those and tiny bodies. The rest is for responses.
+	largeReplySixteenths = 15 // Of the budget, for all of these and large responses.
+	sixteenths           = 16
+	connEighths          = 4 // Of the budget, for connections that hold nothing else.
+	eighths              = 8
+	fileDescriptors      = 200 // Reserved for files.
+	callerDescriptors    = 4   // One in so many of the rest is for callers; a request needs one more to a server.
+	minConns             = 16
+	maxConns             = 64 << 10
+	tunnelEighths        = 2        // Of the budget, for tunnels of other routers.
+	tunnelBytes          = 32 << 10 // Of each tunnel: two buffers and the stacks of two goroutines.
+	tunnelDescriptors    = 16       // One in so many of the descriptors is the number of tunnels, which hold two each.
+	maxTunnels           = 1000
+	peerEighths          = 1        // Of the budget, for connections of other routers.
+	peerBytes            = 16 << 10 // Of each of these.
+	peerDescriptors      = 16       // One in so many of the descriptors.
+	idleDescriptors      = 12       // One in so many of the descriptors is for idle connections to servers.
+	maxPeers             = 4096
+	auxConnDescriptors   = 32 // One in so many of the descriptors may be used by callers of the readiness or the metrics port.
+	maxAuxConns          = 256
+	callerReceiveEighths = 3 // Of the receive buffers, for connections of callers.
+	serverReceiveEighths = 3 // For connections to servers.
+	tunnelReceiveEighths = 1 // For tunnels of other routers.
+	peerReceiveEighths   = 1 // For connections of other routers, and to the other ports.
 )
 
 // Limits are the bounds of one process.
@@ -73,8 +73,8 @@
 		l.Bytes = l.RuntimeBytes / budgetPart
 	}
 	receive = max(receive, minConns*eighths*NarrowReceiveBytes)
-	l.CallerReceiveBytes, l.ServerReceiveBytes = receive/eighths*callerReceive, receive/eighths*serverReceive
-	l.TunnelReceiveBytes, l.PeerReceiveBytes = receive/eighths*tunnelReceive, receive/eighths*peerReceive
+	l.CallerReceiveBytes, l.ServerReceiveBytes = receive/eighths*callerReceiveEighths, receive/eighths*serverReceiveEighths
+	l.TunnelReceiveBytes, l.PeerReceiveBytes = receive/eighths*tunnelReceiveEighths, receive/eighths*peerReceiveEighths
 	l.MaxConns = int(min(l.part(connEighths)/ConnBytes, maxConns))
 	l.MaxTunnels = min(l.MaxTunnels, int(l.part(tunnelEighths)/tunnelBytes))
 	l.MaxPeers = min(l.MaxPeers, int(l.part(peerEighths)/peerBytes))
@@ -99,7 +99,7 @@
 	if bytes <= SmallBytes {
 		return l.Bytes
 	}
-	return l.Bytes / sixteens * largeReplySixteens
+	return l.Bytes / sixteenths * largeReplySixteenths
 }
 
 // bodyLimit returns how much of the budget may be used once a request with that many bytes has what it asks for.
--- a/core/dtintake/receive.go
+++ b/core/dtintake/receive.go
@@ -18,7 +18,7 @@
 // narrow ones, also beyond the limit.
 func (p *ReceivePool) Take() int64 {
 	size := int64(NarrowReceiveBytes)
-	if p.hasHalf(WideReceiveBytes) {
+	if p.leavesHalf(WideReceiveBytes) {
 		size = WideReceiveBytes
 	}
 	p.Used += size
@@ -28,7 +28,7 @@
 // Widen returns the size to which a buffer may grow for a large body, which is its present one if there is no room.
 func (p *ReceivePool) Widen(size int64) int64 {
 	for _, wider := range []int64{BodyReceiveBytes, WideReceiveBytes} {
-		if wider > size && p.hasHalf(wider-size) {
+		if wider > size && p.leavesHalf(wider-size) {
 			p.Used += wider - size
 			return wider
 		}
@@ -42,5 +42,5 @@
 // IsFull reports whether there is no room for the buffer of one more connection.
 func (p *ReceivePool) IsFull() bool { return p.Limit > 0 && p.Used+NarrowReceiveBytes > p.Limit }
 
-// hasHalf reports whether n more bytes leave half of the pool free.
-func (p *ReceivePool) hasHalf(n int64) bool { return p.Limit == 0 || p.Used+n <= p.Limit/2 }
+// leavesHalf reports whether half of the pool is free after n more bytes.
+func (p *ReceivePool) leavesHalf(n int64) bool { return p.Limit == 0 || p.Used+n <= p.Limit/2 }
