--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 SOAK_SEEDS ?= 10
 LANDINGS := 63a836f,0338ea2,1d65baf,e652a81,41c460b,026d409,180fcdf
 
+# Tests of what a process holds under a crowd, which run one at a time.
+CROWDS := ^(TestCrowdOfHalfSentBodies|TestBodyOfFullSizeInCalm|TestUnreadBytesBehindRequests|TestUnreadBytesOfServers|TestUnreadBytesOfTunnels|TestUnreadResponses|TestCrowdsAtOtherPorts|TestCrowds|TestCrowdsBesideKillsStopsAndPauses|TestSoakWithCrowds)$$
+
 export GOFLAGS := -buildvcs=false
 
 .PHONY: build run test lint unit measure fuzz soak crowds release upgrade streams mutate tools clean
@@ -30,7 +33,8 @@
 	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 unit: build
-	go test -count=1 ./core/... ./dottereltack/... ./dottereltack-stand/... ./dottereltack-load/... ./platform/...
+	go test -count=1 -skip '$(CROWDS)' ./core/... ./dottereltack/... ./dottereltack-stand/... ./dottereltack-load/... ./platform/...
+	go test -count=1 -p 1 -run '$(CROWDS)' ./dottereltack-load/dtfleet ./platform/dtsoak
 	@cat KNOWN-RED.txt
 
 measure: build
@@ -42,7 +46,8 @@
 soak:
 	go test -count=1 -timeout 0 ./platform/dtsoak -soak.seeds $(SOAK_SEEDS) -soak.first $(or $(SOAK_FIRST),$(shell date +%s)) -soak.for 12s -soak.overlap 5
 
-crowds:
+crowds: build
+	go test -count=1 -timeout 0 ./dottereltack-load/dtfleet -run TestCrowdsBeside -v -crowds.seeds $(SOAK_SEEDS) -crowds.first $(or $(SOAK_FIRST),$(shell date +%s))
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestSoakWithCrowds -v -crowds.seeds $(SOAK_SEEDS) -crowds.first $(or $(SOAK_FIRST),$(shell date +%s)) -soak.for 12s
 
 release:
--- a/dottereltack-load/dtfleet/crowds_test.go
+++ b/dottereltack-load/dtfleet/crowds_test.go
@@ -4,12 +4,13 @@
 	"flag"
 	"math/rand/v2"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/dottereltack/dottereltack/dottereltack-load/dtcaller"
@@ -30,18 +31,19 @@
 	disturberCount = 3 // Goroutines that send crowds or end routers.
 )
 
-// Processes end, hang or exceed their memory, or orders run twice or after they were refused as not run, while crowds come to
-// routers that are killed, stopped and paused.
-var _ = Describe("crowds beside kills, stops and pauses", func() {
-	It("end no router and double no order", func() {
-		for n := range *crowdSeedsFlag {
-			newCrowdRun(*crowdFirstFlag + uint64(n)).play() //nolint:gosec // Not negative.
-		}
-	})
-})
+// TestCrowdsBesideKillsStopsAndPauses guards against processes that end, hang or exceed their memory, and orders that run twice or after
+// they were refused as not run, while crowds come to routers that are killed, stopped and paused.
+func TestCrowdsBesideKillsStopsAndPauses(t *testing.T) {
+	for n := range *crowdSeedsFlag {
+		seed := *crowdFirstFlag + uint64(n) //nolint:gosec // Not negative.
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newCrowdRun(t, seed).play() })
+	}
+}
 
 // crowdRun is a run of a fleet with crowds.
 type crowdRun struct {
+	*WithT
+	t      *testing.T
 	fleet  *dtfleet.Fleet
 	seed   uint64
 	over   atomic.Bool
@@ -50,16 +52,17 @@
 	locks  []sync.Mutex      // Of each router, held while it is disturbed.
 }
 
-func newCrowdRun(seed uint64) *crowdRun {
-	t := intakeTopology()
-	t.RoutersPerDomain = []int{3}
-	t.Service.CallMs = 20
-	f := startFleet(t)
-	return &crowdRun{fleet: f, seed: seed, orders: map[string]string{}, locks: make([]sync.Mutex, len(f.Routers))}
+func newCrowdRun(t *testing.T, seed uint64) *crowdRun {
+	t.Helper()
+	topology := intakeTopology()
+	topology.RoutersPerDomain = []int{3}
+	topology.Service.CallMs = 20
+	f := startLimitedFleet(t, topology)
+	return &crowdRun{WithT: NewWithT(t), t: t, fleet: f, seed: seed, orders: map[string]string{}, locks: make([]sync.Mutex, len(f.Routers))}
 }
 
 func (c *crowdRun) play() {
-	GinkgoHelper()
+	c.t.Helper()
 	var group sync.WaitGroup
 	for i := range disturberCount {
 		group.Go(func() { c.disturb(rand.New(rand.NewPCG(c.seed, uint64(i)))) }) //nolint:gosec // Reproducible from the seed.
@@ -73,31 +76,30 @@
 	caller := dtcaller.New(dtfleet.AccountKey("acc-0"))
 	defer caller.Close()
 	for _, r := range c.fleet.Routers {
-		Expect(dtprocess.IsRunning(r.PID(), filepath.Join(c.fleet.BinDir, "dottereltack"))).To(BeTrue(), "seed %d: %s", c.seed, r.Name)
-		Eventually(func() bool {
+		c.Expect(dtprocess.IsRunning(r.PID(), filepath.Join(c.fleet.BinDir, "dottereltack"))).To(BeTrue(), "seed %d: %s", c.seed, r.Name)
+		c.Eventually(func() bool {
 			return caller.CallService(r.Host.CallersAddress, "franchise-desk", "stock", "", []byte(`{"poster":1}`)).Completed
 		}, "60s", "100ms").Should(BeTrue(), "seed %d: an ordinary request at %s", c.seed, r.Name)
 		peak := dtprocess.StatusBytes(r.PID(), "VmHWM:") >> 20
-		GinkgoWriter.Printf("seed %d: %s peak %d MB\n", c.seed, r.Name, peak)
-		Expect(peak).To(BeNumerically("<=", intakeMemoryMB), "seed %d: resident set of %s in MB", c.seed, r.Name)
+		c.t.Logf("seed %d: %s peak %d MB", c.seed, r.Name, peak)
+		c.Expect(peak).To(BeNumerically("<=", intakeMemoryMB), "seed %d: resident set of %s in MB", c.seed, r.Name)
 	}
 	counters, err := c.fleet.StandCounters()
-	Expect(err).NotTo(HaveOccurred())
+	c.Expect(err).NotTo(HaveOccurred())
 	for key, outcome := range c.orders {
-		Expect(counters.RunCounts[key]).To(BeNumerically("<=", 1), "seed %d: order %s (%s) has run more than once", c.seed, key, outcome)
+		c.Expect(counters.RunCounts[key]).To(BeNumerically("<=", 1), "seed %d: order %s (%s) has run more than once", c.seed, key, outcome)
 		switch outcome {
 		case "completed":
-			Expect(counters.RunCounts[key]).To(Equal(1), "seed %d: order %s has not run", c.seed, key)
+			c.Expect(counters.RunCounts[key]).To(Equal(1), "seed %d: order %s has not run", c.seed, key)
 		case "not_run":
-			Expect(counters.RunCounts[key]).To(BeZero(), "seed %d: order %s was refused as not run", c.seed, key)
+			c.Expect(counters.RunCounts[key]).To(BeZero(), "seed %d: order %s was refused as not run", c.seed, key)
 		}
 	}
-	Expect(c.fleet.Stop()).To(BeZero(), "seed %d: every router stops", c.seed)
+	c.Expect(c.fleet.Stop()).To(BeZero(), "seed %d: every router stops", c.seed)
 }
 
 // sendOrders sends orders to random routers until the run is over.
 func (c *crowdRun) sendOrders(random *rand.Rand) {
-	defer GinkgoRecover()
 	caller := dtcaller.New(dtfleet.AccountKey("acc-1"))
 	defer caller.Close()
 	for !c.over.Load() {
@@ -120,7 +122,6 @@
 
 // disturb sends crowds to random ports, and kills, stops and pauses routers, until the run is over.
 func (c *crowdRun) disturb(random *rand.Rand) {
-	defer GinkgoRecover()
 	for !c.over.Load() {
 		i := random.IntN(len(c.fleet.Routers))
 		r := c.fleet.Routers[i]
@@ -136,13 +137,16 @@
 		switch kind {
 		case 3:
 			r.Kill()
-			Expect(c.fleet.StartRouter(r)).To(Succeed())
+			c.start(r)
 		case 4:
-			code, _ := r.Terminate()
-			Expect(code).To(BeZero(), "seed %d: %s stops", c.seed, r.Name)
-			Expect(c.fleet.StartRouter(r)).To(Succeed())
+			if code, err := r.Terminate(); code != 0 {
+				c.t.Errorf("seed %d: %s has stopped with code %d, %v", c.seed, r.Name, code, err)
+			}
+			c.start(r)
 		case 5:
-			Expect(r.Pause()).To(Succeed())
+			if err := r.Pause(); err != nil {
+				c.t.Error(err)
+			}
 			time.Sleep(duration)
 			r.Signal(syscall.SIGCONT)
 		}
@@ -151,6 +155,12 @@
 	}
 }
 
+func (c *crowdRun) start(r *dtfleet.Router) {
+	if err := c.fleet.StartRouter(r); err != nil {
+		c.t.Error(err)
+	}
+}
+
 func (c *crowdRun) sendCrowd(random *rand.Rand, r *dtfleet.Router, duration time.Duration) {
 	const minClients, maxClients, rounds = 20, 100, 10
 	forms := []dtcrowd.Form{
--- a/dottereltack-load/dtfleet/intake_test.go
+++ b/dottereltack-load/dtfleet/intake_test.go
@@ -4,14 +4,16 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
+	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/dottereltack/dottereltack/core/dtapi"
+	"github.com/dottereltack/dottereltack/dottereltack-load/dtcaller"
 	"github.com/dottereltack/dottereltack/dottereltack-load/dtfleet"
 	"github.com/dottereltack/dottereltack/dottereltack-stand/dtcrowd"
 	"github.com/dottereltack/dottereltack/dottereltack-stand/dtprocess"
@@ -27,6 +29,7 @@
 	crowdOfPipelines     = 330
 	crowdRounds          = 3
 	crowdSendTime        = 20 * time.Second // At most, until the crowd is taken to have sent what it can.
+	intakeAnswerTime     = 30 * time.Second // For a request of the full size; it may be refused until then.
 	intakeSampleInterval = 10 * time.Millisecond
 )
 
@@ -37,9 +40,9 @@
 	}}
 }
 
-// A process is killed for its memory, or runs out of descriptors, as many clients at once send bodies that they do not end,
-// bodies over the limit, heads without an end, or more bytes behind a request that runs.
-var _ = Describe("a crowd of clients", func() {
+// TestCrowds guards against a process that is killed for its memory, or runs out of descriptors, as many clients at once send bodies that
+// they do not end, bodies over the limit, heads without an end, or more bytes behind a request that runs, or do not read.
+func TestCrowds(t *testing.T) {
 	for name, tc := range map[string]struct {
 		address func(r *dtfleet.Router) string
 		groups  []dtcrowd.Group
@@ -56,9 +59,40 @@
 		"at the port of peers":      {peersOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.Flood}, {Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
 		"at the port of operators":  {operatorsOf, []dtcrowd.Group{{Size: crowdOfPipelines, Form: dtcrowd.BehindRequest}, {Size: crowdOfBodies, Form: dtcrowd.LargeChunk}}},
 	} {
-		It("does not end a router: "+name, func() { playCrowd(tc.address, tc.groups) })
+		t.Run(name, func(t *testing.T) { playCrowd(t, tc.address, tc.groups) })
 	}
-})
+}
+
+// TestBodyOfFullSizeInCalm guards against a budget for crowds that refuses a single request within the limits.
+func TestBodyOfFullSizeInCalm(t *testing.T) {
+	body := strings.Repeat("b", intakeBodyBytes)
+	for name, request := range map[string]string{
+		"announced":       fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"large chunk":     fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"one-byte chunks": "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", len(body)) + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startLimitedFleet(t, intakeTopology()).Routers[0].Host.CallersAddress
+			NewWithT(t).Eventually(func() string { return sendWhole(address, request) }, intakeAnswerTime, "200ms").Should(Equal("HTTP/1.1 200 "))
+		})
+	}
+}
+
+// sendWhole sends a request and returns the begin of the response, or the error.
+func sendWhole(address, request string) string {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(intakeAnswerTime))
+	if _, err := io.WriteString(c, crowdTarget(address).Head("")+request); err != nil {
+		return err.Error()
+	}
+	line := make([]byte, len("HTTP/1.1 200 "))
+	_, _ = io.ReadFull(c, line)
+	return string(line)
+}
 
 func callersOf(r *dtfleet.Router) string   { return r.Host.CallersAddress }
 func peersOf(r *dtfleet.Router) string     { return r.Host.PeersAddress }
@@ -73,54 +107,50 @@
 	return t
 }
 
+// startLimitedFleet starts a fleet, stops it when the test ends and prints its logs if the test has failed.
+func startLimitedFleet(t *testing.T, topology dtfleet.Topology) *dtfleet.Fleet {
+	t.Helper()
+	bin, err := filepath.Abs("../../bin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	f, err := dtfleet.Start(topology, bin, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.Stop()
+		logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+		for _, path := range logs {
+			if text, err := os.ReadFile(path); err == nil && t.Failed() {
+				t.Logf("--- %s\n%s", filepath.Base(path), tail(text))
+			}
+		}
+	})
+	return f
+}
+
 // playCrowd has a crowd send to a port of a router and hold its connections, and judges the process of the router.
-func playCrowd(address func(r *dtfleet.Router) string, groups []dtcrowd.Group) {
-	GinkgoHelper()
-	f := startFleet(intakeTopology())
+func playCrowd(t *testing.T, address func(r *dtfleet.Router) string, groups []dtcrowd.Group) {
+	t.Helper()
+	g := NewWithT(t)
+	f := startLimitedFleet(t, intakeTopology())
 	r := f.Routers[0]
 	watch := dtprocess.NewWatch(r.PID(), intakeSampleInterval)
 	crowd := dtcrowd.Start(crowdTarget(address(r)), crowdRounds, groups...)
 	crowd.AwaitSent(crowdSendTime)
-	caller := newCaller()
+	caller := dtcaller.New(dtfleet.AccountKey("acc-0"))
+	defer caller.Close()
 	served := func() bool {
 		return caller.CallService(r.Host.CallersAddress, "franchise-desk", "stock", "", []byte(`{"poster":1}`)).Completed
 	}
-	Eventually(served, "60s", "100ms").Should(BeTrue(), "an ordinary request is answered")
+	g.Eventually(served, "60s", "100ms").Should(BeTrue(), "an ordinary request is answered")
 	crowd.Leave()
 	peak := watch.Stop()
-	GinkgoWriter.Printf("peak %d MB (resident %d, unread %d), %d descriptors; %d connections, %d closed by the router\n",
+	t.Logf("peak %d MB (resident %d, unread %d), %d descriptors; %d connections, %d closed by the router",
 		peak.MemoryBytes>>20, peak.ResidentBytes>>20, peak.UnreadBytes>>20, peak.Descriptors, crowd.Connections.Load(), crowd.Closed.Load())
-	Expect(dtprocess.IsRunning(r.PID(), filepath.Join(f.BinDir, "dottereltack"))).To(BeTrue(), "the process is alive")
-	Expect(peak.MemoryBytes>>20).To(BeNumerically("<=", intakeMemoryMB), "resident set and unread bytes in MB")
-	Expect(peak.Descriptors).To(BeNumerically("<=", intakeDescriptors-reservedDescriptors), "open descriptors")
+	g.Expect(dtprocess.IsRunning(r.PID(), filepath.Join(f.BinDir, "dottereltack"))).To(BeTrue(), "the process is alive")
+	g.Expect(peak.MemoryBytes>>20).To(BeNumerically("<=", intakeMemoryMB), "resident set and unread bytes in MB")
+	g.Expect(peak.Descriptors).To(BeNumerically("<=", intakeDescriptors-reservedDescriptors), "open descriptors")
 }
-
-// A budget for crowds refuses a single request within the limits.
-var _ = Describe("a request of the full size", func() {
-	const answerTime = 30 * time.Second
-	body := strings.Repeat("b", intakeBodyBytes)
-	for name, request := range map[string]string{
-		"announced":       fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
-		"large chunk":     fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
-		"one-byte chunks": "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", len(body)) + "0\r\n\r\n",
-	} {
-		It("is served in calm: "+name, func() {
-			f := startFleet(intakeTopology())
-			address := f.Routers[0].Host.CallersAddress
-			Eventually(func() string {
-				c, err := net.Dial("tcp", address)
-				if err != nil {
-					return err.Error()
-				}
-				defer func() { _ = c.Close() }()
-				_ = c.SetDeadline(time.Now().Add(answerTime))
-				if _, err := io.WriteString(c, crowdTarget(address).Head("")+request); err != nil {
-					return err.Error()
-				}
-				line := make([]byte, len("HTTP/1.1 200 "))
-				_, _ = io.ReadFull(c, line)
-				return string(line)
-			}, answerTime, "200ms").Should(Equal("HTTP/1.1 200 "))
-		})
-	}
-})
