dtcrowd: the ID of a request names its group

The routers' logs show two requests with each of these IDs, from two connections, each with one attempt: a crowd may draw a form twice, and the clients of both groups counted from zero. Change: the group is part of the ID. No check is changed.

--- a/dottereltack-stand/dtcrowd/crowd.go
+++ b/dottereltack-stand/dtcrowd/crowd.go
@@ -41,10 +41,12 @@
 // Start starts the clients. Each opens a connection, sends, and holds it until it is closed; and this in as many rounds.
 func Start(t Target, rounds int, groups ...Group) *Crowd {
 	c := &Crowd{target: t, rounds: rounds, blocks: newBlocks(), over: make(chan struct{})}
-	for _, group := range groups {
+	for i, group := range groups {
 		for n := range group.Size {
 			c.sending.Add(1)
-			c.group.Go(func() { c.runClient(group.Form, n) })
+			c.group.Go(func() {
+				c.runClient(group.Form, Client{Target: &c.target, Group: i, Index: n, blocks: c.blocks, over: c.over})
+			})
 		}
 	}
 	return c
@@ -69,11 +71,13 @@
 	c.group.Wait()
 }
 
-func (c *Crowd) runClient(form Form, index int) {
+func (c *Crowd) runClient(form Form, client Client) {
 	sent := sync.OnceFunc(c.sending.Done)
 	defer sent()
 	for round := range c.rounds {
-		c.playRound(form, &Client{Target: &c.target, Index: index, Round: round, blocks: c.blocks, over: c.over}, sent)
+		next := client
+		next.Round = round
+		c.playRound(form, &next, sent)
 		if c.isOver() {
 			return
 		}
--- a/dottereltack-stand/dtcrowd/form.go
+++ b/dottereltack-stand/dtcrowd/form.go
@@ -13,6 +13,7 @@
 type Client struct {
 	net.Conn
 	Target *Target
+	Group  int
 	Index  int // In its group.
 	Round  int
 	blocks *blocks
@@ -22,7 +23,7 @@
 
 // id returns an ID for its request that no other request of the crowd has.
 func (c *Client) id(form string) string {
-	c.lastID = fmt.Sprintf("%s-%d-%d", form, c.Index, c.Round)
+	c.lastID = fmt.Sprintf("%s-%d-%d-%d", form, c.Group, c.Index, c.Round)
 	return c.lastID
 }
 
