dtmesh, dtlink: routers have wide receive buffers once they have shown to be one

Of the connections of peers 32 had wide receive buffers and the rest 8 KiB, which 81 routers' links exceed; a configuration that routers pass on then takes many round trips. Change: a connection of a peer has 128 KiB, also beyond the pool, once a message of a router has arrived on it, at the own interface once its key is proved; crowds at that port keep small ones.

--- a/core/dtintake/receive.go
+++ b/core/dtintake/receive.go
@@ -6,6 +6,7 @@
 	WideReceiveBytes   = 64 << 10  // Carries a request or a response of ordinary size in one round trip.
 	NarrowReceiveBytes = 8 << 10   // The smallest that carries a large one in reasonable time.
 	BodyReceiveBytes   = 256 << 10 // Of a caller that sends a large body.
+	PeerReceiveBytes   = 128 << 10 // Of another router, once it has shown to be one: it passes configurations and lists on.
 )
 
 // ReceivePool shares the memory of receive buffers among the connections of one kind.
--- a/dottereltack/dtbudget/receive.go
+++ b/dottereltack/dtbudget/receive.go
@@ -56,6 +56,17 @@
 	once   sync.Once
 }
 
+// Widen counts a larger size of the buffer, also beyond the limit; it must not be called after Return.
+func (r *ReceiveBuffer) Widen(bytes int64) {
+	if r == nil || r.shared == nil || bytes <= r.Bytes {
+		return
+	}
+	r.shared.mu.Lock()
+	r.shared.pool.Used += bytes - r.Bytes
+	r.shared.mu.Unlock()
+	r.Bytes = bytes
+}
+
 // Return gives the buffer back; calls after the first one do nothing.
 func (r *ReceiveBuffer) Return() {
 	if r == nil || r.shared == nil {
--- a/dottereltack/dtlink/transport.go
+++ b/dottereltack/dtlink/transport.go
@@ -171,6 +171,8 @@
 		t.handler.HandleFailure("", merry.Wrap(err, merry.WithValue("step", "handshake"), merry.WithValue("peer", c.RemoteAddr().String())))
 		return
 	}
+	buffer.Widen(dtintake.PeerReceiveBytes)
+	dtsocket.SetReceiveBuffer(c, dtintake.PeerReceiveBytes)
 	reported := map[byte]bool{}
 	for {
 		_ = c.SetDeadline(time.Now().Add(readTimeout))
--- a/dottereltack/dtmesh/mesh.go
+++ b/dottereltack/dtmesh/mesh.go
@@ -285,7 +285,7 @@
 		buffer := m.buffers.Take()
 		dtsocket.SetReceiveBuffer(c, buffer.Bytes)
 		m.wg.Go(func() {
-			m.receiveLoop(c)
+			m.receiveLoop(c, buffer)
 			_ = c.Close()
 			buffer.Return()
 			m.mu.Lock()
@@ -297,9 +297,10 @@
 
 // receiveLoop posts the messages of a peer as events until its connection fails, the bounds of its frames are lost, or the
 // connection has served as a tunnel. A message that can't be decoded is reported and skipped.
-func (m *Mesh) receiveLoop(c net.Conn) {
+func (m *Mesh) receiveLoop(c net.Conn, buffer *dtbudget.ReceiveBuffer) {
 	r := bufio.NewReaderSize(c, bufferBytes)
 	from := hostOf(c) // Until the peer has named itself.
+	isPeer := false
 	for m.ctx.Err() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 		body, err := dtwire.ReadFrame(r)
@@ -327,6 +328,11 @@
 			m.reportUnreadable(dtdispatch.PeerMessageUnreadable{From: from, Kind: unknownKind, Detail: "no message of a known kind"})
 			continue
 		}
+		if !isPeer {
+			isPeer = true
+			buffer.Widen(dtintake.PeerReceiveBytes)
+			dtsocket.SetReceiveBuffer(c, dtintake.PeerReceiveBytes)
+		}
 		from = cmp.Or(senderOf(message), from)
 		m.events.Post(dtdispatch.PeerMessageReceived{From: from, Message: message})
 	}
