dtintake: a connection without a receive buffer has a reason of its own

Cause: a connection that found no receive buffer was logged and counted as no_place, like one over the number of connections, and one that was closed for it as for_place. Operators could tell the two apart by a gauge only.

Change: the ledger returns ReasonNoReceiveBuffer and ReasonForReceiveBuffer where there would be a place. The log line caller_closed and the counter of closings name them.

--- a/core/dtintake/ledger.go
+++ b/core/dtintake/ledger.go
@@ -35,16 +35,18 @@
 
 // Reasons of a closing.
 const (
-	ReasonNone      Reason = iota
-	ReasonForMemory        // Closed, since another one needs memory.
-	ReasonForPlace         // Closed, since another caller connects.
-	ReasonNoMemory         // Its own request finds no memory.
-	ReasonNoPlace          // It connects, and no other one can be closed for it.
+	ReasonNone             Reason = iota
+	ReasonForMemory               // Closed, since another one needs memory.
+	ReasonForPlace                // Closed, since another caller connects.
+	ReasonForReceiveBuffer        // Closed, since another caller connects and no receive buffer is left.
+	ReasonNoMemory                // Its own request finds no memory.
+	ReasonNoPlace                 // It connects, and no other one can be closed for it.
+	ReasonNoReceiveBuffer         // The same, and there would be a place, but no receive buffer is left.
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
-	return [...]string{"none", "for_memory", "for_place", "no_memory", "no_place"}[r]
+	return [...]string{"none", "for_memory", "for_place", "for_receive_buffer", "no_memory", "no_place", "no_receive_buffer"}[r]
 }
 
 // Holder is a connection of a caller and what it holds.
@@ -94,12 +96,17 @@
 // Open adds a new connection. At the limit, the one that has stalled for longest is closed for it.
 func (l *Ledger) Open(now time.Time) (HolderID, Decision) {
 	d := Decision{Granted: true}
-	if l.Conns >= l.Limits.MaxConns || l.Used+ConnBytes > l.Limits.part(tinyBodyEighths) || l.Receive.IsFull() {
+	closeFor, refuseFor := ReasonForPlace, ReasonNoPlace
+	hasPlace := l.Conns < l.Limits.MaxConns && l.Used+ConnBytes <= l.Limits.part(tinyBodyEighths)
+	if hasPlace {
+		closeFor, refuseFor = ReasonForReceiveBuffer, ReasonNoReceiveBuffer
+	}
+	if !hasPlace || l.Receive.IsFull() {
 		victims := l.victims(now, 0, StageBody, StageHead, StageIdle)
 		if len(victims) == 0 || l.Closing > l.Limits.MaxConns/closingPart {
-			return 0, Decision{Refused: Closing{Reason: ReasonNoPlace}}
+			return 0, Decision{Refused: Closing{Reason: refuseFor}}
 		}
-		d.Close = append(d.Close, l.markClosing(victims[0], ReasonForPlace, now))
+		d.Close = append(d.Close, l.markClosing(victims[0], closeFor, now))
 	}
 	l.last++
 	h := &Holder{ID: l.last, ProgressAt: now, ReceiveBytes: l.Receive.Take()}
--- a/core/dtintake/receive_test.go
+++ b/core/dtintake/receive_test.go
@@ -49,10 +49,12 @@
 	}
 	_, d := l.Open(now)
 	g.Expect(d.Granted).To(BeFalse())
+	g.Expect(d.Refused.Reason).To(Equal(ReasonNoReceiveBuffer))
 	now = now.Add(StallTime)
 	_, d = l.Open(now)
 	g.Expect(d.Granted).To(BeTrue(), "an idle connection gives way")
 	g.Expect(d.Close).To(HaveLen(1))
+	g.Expect(d.Close[0].Reason).To(Equal(ReasonForReceiveBuffer))
 	g.Expect(l.Receive.Used).To(Equal(l.Receive.Limit))
 }
 
