--- a/dottereltack-stand/dtcrowd/form.go
+++ b/dottereltack-stand/dtcrowd/form.go
@@ -143,6 +143,14 @@
 	return writeRepeated(c, c.blocks.plain, behindBytes/plainBlockBytes)
 }
 
+// UnreadResponses sends 8 MiB of small requests, one behind the other, and does not read their responses until all is sent.
+func UnreadResponses(c *Client) error {
+	const requestBytes = 8 << 20
+	c.narrow()
+	request := []byte(c.Target.Head(c.id("unread")) + "Content-Length: 0\r\n\r\n")
+	return writeRepeated(c, request, requestBytes/len(request))
+}
+
 // Flood sends 8 MiB that are no request.
 func Flood(c *Client) error {
 	const floodBytes = 8 << 20
