dtfleet: refused orders of a crowd have not run

Cause: at the own interface, that a refusal says the truth was checked for the ordinary orders of the soak only, not for the requests of the crowds.

Change: TestRefusedOrdersOfACrowdHaveNotRun plays a crowd whose requests are orders: whole ones whose responses are not read, small ones with 8 MiB behind them, bodies just short of their end, bodies over the limit. It reads from the services which of them ran. One of the tests that run one at a time.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 LANDINGS := 63a836f,0338ea2,1d65baf,e652a81,41c460b,026d409,180fcdf
 
 # Tests of what a process holds under a crowd, which run one at a time.
-CROWDS := ^(TestCrowdOfHalfSentBodies|TestBodyOfFullSizeInCalm|TestUnreadBytesBehindRequests|TestUnreadBytesOfServers|TestUnreadBytesOfTunnels|TestUnreadResponses|TestCrowdsAtOtherPorts|TestCrowds|TestCrowdsBesideKillsStopsAndPauses|TestSoakWithCrowds)$$
+CROWDS := ^(TestCrowdOfHalfSentBodies|TestBodyOfFullSizeInCalm|TestUnreadBytesBehindRequests|TestUnreadBytesOfServers|TestUnreadBytesOfTunnels|TestUnreadResponses|TestCrowdsAtOtherPorts|TestCrowds|TestRefusedOrdersOfACrowdHaveNotRun|TestCrowdsBesideKillsStopsAndPauses|TestSoakWithCrowds)$$
 
 export GOFLAGS := -buildvcs=false
 
--- a/dottereltack-load/dtfleet/intake_test.go
+++ b/dottereltack-load/dtfleet/intake_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,6 +65,45 @@
 	}
 }
 
+// TestRefusedOrdersOfACrowdHaveNotRun guards against a refusal of a crowd's order that is not true, and against an order that runs twice.
+func TestRefusedOrdersOfACrowdHaveNotRun(t *testing.T) {
+	g := NewWithT(t)
+	f := startLimitedFleet(t, intakeTopology())
+	target := crowdTarget(f.Routers[0].Host.CallersAddress)
+	var mu sync.Mutex // Guards the next two.
+	keys, statuses := map[string]string{}, map[string]int{}
+	target.Head = func(id string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		keys[id] = dtcaller.NewIdempotencyKey()
+		return "POST " + dtapi.PathServices + "/franchise-desk/print HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + dtfleet.AccountKey("acc-0") +
+			"\r\n" + dtapi.HeaderIdempotencyKey + ": " + keys[id] + "\r\n"
+	}
+	target.Responded = func(id string, status int) {
+		mu.Lock()
+		defer mu.Unlock()
+		statuses[id] = status
+	}
+	crowd := dtcrowd.Start(target, crowdRounds, dtcrowd.Group{Size: crowdOfBodies, Form: dtcrowd.UnreadResponse}, dtcrowd.Group{Size: crowdOfBodies, Form: dtcrowd.BehindRequest},
+		dtcrowd.Group{Size: crowdOfBodies, Form: dtcrowd.LargeChunk}, dtcrowd.Group{Size: crowdOfBodies, Form: dtcrowd.OverLimitAnnounced})
+	crowd.AwaitSent(crowdSendTime)
+	crowd.Leave()
+	counters, err := f.StandCounters()
+	g.Expect(err).NotTo(HaveOccurred())
+	counts := map[int]int{}
+	for id, key := range keys {
+		counts[statuses[id]]++
+		g.Expect(counters.RunCounts[key]).To(BeNumerically("<=", 1), "%s has run more than once", id)
+		switch statuses[id] {
+		case http.StatusOK:
+			g.Expect(counters.RunCounts[key]).To(Equal(1), "%s was answered and has not run", id)
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestEntityTooLarge:
+			g.Expect(counters.RunCounts[key]).To(BeZero(), "%s was refused with %d and has run", id, statuses[id])
+		}
+	}
+	t.Logf("orders by the status of the response, 0 for none: %v", counts)
+}
+
 // TestBodyOfFullSizeInCalm guards against a budget for crowds that refuses a single request within the limits.
 func TestBodyOfFullSizeInCalm(t *testing.T) {
 	body := strings.Repeat("b", intakeBodyBytes)
