dtgate: the text of a collected stream is part of the budget

What could happen: callers of the own interface that ask for long chats without a stream have the process hold the text of each until it ends. Nothing bounded them together: 975 callers with 64,000 tokens each are some 300 MB. Found by reading; named as open in docs/design/intake.md.

Cause: holdReply counts whole bodies only; collectText appends to a slice.

Change: the text grows by doubling, and each size is counted three times, as that of other responses. An event that finds no room is not accepted: the attempt ends as one that was cut, before that event, so that a resumed response goes on with it.

No crowd of processes plays it: the stand-in for engines generates too slowly.

--- a/dottereltack/dtgate/exchange.go
+++ b/dottereltack/dtgate/exchange.go
@@ -17,6 +17,9 @@
 // replyCopies is how often a response is held: as it arrives, for the reducer, and as it is written.
 const replyCopies = 3
 
+// minTextBytes is the first capacity of the text of a collected stream.
+const minTextBytes = 4 << 10
+
 // maxPendingEffects is the capacity of an exchange's queue of effects.
 const maxPendingEffects = 8
 
@@ -185,6 +188,7 @@
 	errTokenSequence    = errors.New("token index out of sequence")
 	errReplayMismatch   = errors.New("restarted response differs from the tokens already sent")
 	errIncompleteStream = errors.New("stream ended with an incorrect token count")
+	errNoRoomForText    = errors.New("no room for the text of the response")
 )
 
 // acceptToken checks that an event has the next token index, and that skipped tokens, which
@@ -292,16 +296,38 @@
 	x.endAttempt(dtstate.OutcomeCallerGone, 0, nil)
 }
 
-// collectText reads a streamed response and returns its text and the part that ended it.
+// collectText reads a streamed response and returns its text and the part that ended it. An event whose text finds no room is not
+// accepted, and the attempt ends as one that was cut.
 func (x *exchange) collectText() (string, responsePart) {
 	var text []byte
 	for {
+		sentHash := x.sentHash
 		p := x.nextPart()
 		if p.event == nil {
 			return string(text), p
 		}
-		text = append(text, deltaContent(p.event)...)
+		content := deltaContent(p.event)
+		var ok bool
+		if text, ok = x.growText(text, len(content)); !ok {
+			x.nextToken--
+			x.sentHash = sentHash
+			x.abortAttempt(errNoRoomForText)
+			continue
+		}
+		text = append(text, content...)
+	}
+}
+
+// growText returns a text with capacity for n more bytes, or false if there is no room for it.
+func (x *exchange) growText(text []byte, n int) ([]byte, bool) {
+	if len(text)+n <= cap(text) {
+		return text, true
+	}
+	size := max(2*cap(text), len(text)+n, minTextBytes)
+	if !x.holdReply(int64(size)) {
+		return text, false
 	}
+	return append(make([]byte, 0, size), text...), true
 }
 
 // holdReply reports whether there is room for a response of a size in bytes, which is held until the caller has it.
