dtbudget: the size of a peer's receive buffer is counted and set in one call

Cause: dtlink and dtmesh took or widened a buffer and set the socket's size in a second call; one without the other would bound nothing, or count what is not there.

Change: ReceiveBuffers.Accept and ReceiveBuffer.Widen do both. No change of behaviour.

--- a/dottereltack/dtbudget/receive.go
+++ b/dottereltack/dtbudget/receive.go
@@ -30,6 +30,13 @@
 	return &ReceiveBuffer{Bytes: b.pool.Take(), shared: b}
 }
 
+// Accept returns the buffer of a connection that has been accepted, and sets its size.
+func (b *ReceiveBuffers) Accept(c net.Conn) *ReceiveBuffer {
+	r := b.Take()
+	dtsocket.SetReceiveBuffer(c, r.Bytes)
+	return r
+}
+
 // Used returns the size of all buffers together, in bytes.
 func (b *ReceiveBuffers) Used() int64 {
 	b.mu.Lock()
@@ -56,15 +63,18 @@
 	once   sync.Once
 }
 
-// Widen counts a larger size of the buffer, also beyond the limit; it must not be called after Return.
-func (r *ReceiveBuffer) Widen(bytes int64) {
-	if r == nil || r.shared == nil || bytes <= r.Bytes {
+// Widen gives the connection c, whose buffer it is, a larger one, also beyond the limit; it must not be called after Return.
+func (r *ReceiveBuffer) Widen(c net.Conn, bytes int64) {
+	if r == nil || bytes <= r.Bytes {
 		return
 	}
-	r.shared.mu.Lock()
-	r.shared.pool.Used += bytes - r.Bytes
-	r.shared.mu.Unlock()
+	if r.shared != nil {
+		r.shared.mu.Lock()
+		r.shared.pool.Used += bytes - r.Bytes
+		r.shared.mu.Unlock()
+	}
 	r.Bytes = bytes
+	dtsocket.SetReceiveBuffer(c, bytes)
 }
 
 // Return gives the buffer back; calls after the first one do nothing.
--- a/dottereltack/dtlink/transport.go
+++ b/dottereltack/dtlink/transport.go
@@ -154,8 +154,7 @@
 
 // serveInbound reads the messages of one inbound connection until it fails.
 func (t *Transport) serveInbound(c net.Conn) {
-	buffer := t.settings.Buffers.Take()
-	dtsocket.SetReceiveBuffer(c, buffer.Bytes)
+	buffer := t.settings.Buffers.Accept(c)
 	defer func() {
 		t.mu.Lock()
 		delete(t.inbound, c)
@@ -171,8 +170,7 @@
 		t.handler.HandleFailure("", merry.Wrap(err, merry.WithValue("step", "handshake"), merry.WithValue("peer", c.RemoteAddr().String())))
 		return
 	}
-	buffer.Widen(dtintake.PeerReceiveBytes)
-	dtsocket.SetReceiveBuffer(c, dtintake.PeerReceiveBytes)
+	buffer.Widen(c, dtintake.PeerReceiveBytes)
 	reported := map[byte]bool{}
 	for {
 		_ = c.SetDeadline(time.Now().Add(readTimeout))
--- a/dottereltack/dtmesh/mesh.go
+++ b/dottereltack/dtmesh/mesh.go
@@ -282,8 +282,7 @@
 			_ = c.Close()
 			continue
 		}
-		buffer := m.buffers.Take()
-		dtsocket.SetReceiveBuffer(c, buffer.Bytes)
+		buffer := m.buffers.Accept(c)
 		m.wg.Go(func() {
 			m.receiveLoop(c, buffer)
 			_ = c.Close()
@@ -330,8 +329,7 @@
 		}
 		if !isPeer {
 			isPeer = true
-			buffer.Widen(dtintake.PeerReceiveBytes)
-			dtsocket.SetReceiveBuffer(c, dtintake.PeerReceiveBytes)
+			buffer.Widen(c, dtintake.PeerReceiveBytes)
 		}
 		from = cmp.Or(senderOf(message), from)
 		m.events.Post(dtdispatch.PeerMessageReceived{From: from, Message: message})
--- a/dottereltack/dtserver/response.go
+++ b/dottereltack/dtserver/response.go
@@ -48,8 +48,9 @@
 }
 
 // ReadBody reads the rest of the body; a truncated body or one of more than maxResponseBytes
-// is an error, and so is one whose next size in bytes hold does not grant. One with neither a length nor chunks counts as truncated unless it is a whole JSON
-// object or array, since its connection ends in the same way when the server is killed.
+// is an error, and so is one whose next size in bytes hold does not grant. One with neither a
+// length nor chunks counts as truncated unless it is a whole JSON object or array, since its
+// connection ends in the same way when the server is killed.
 func (r *Response) ReadBody(hold func(size int64) bool) ([]byte, error) {
 	_ = r.conn.SetReadDeadline(time.Now().Add(responseTimeout))
 	body, err := r.readAll(hold)
