dtdispatch: the log says how old the list was at a lookup of a stream's version, and whether the record was read

Change: list_age_ms, the number of routers that share the list, the source 'unread', and a counter of lookups. Result: go test ./core/dtdispatch passes; no decision changes.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -188,6 +188,7 @@
 	ConfigVersion int64         // Version of the configuration used for the decision.
 	RosterAge     time.Duration // Age of the server list used for the decision.
 	RouterCount   int           // Number of routers that share the fleet's budgets.
+	Sharing       int           // Number of routers with this router's list of servers, itself included, if none has another.
 	Retries       RetryUsage    // Of the service that the record is about.
 	RouterAge     time.Duration // Time since this router started.
 	StreamAge     time.Duration // Time since the stream began, by the time that decides on its version.
--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -48,17 +48,23 @@
 // sharesList reports whether this router has just heard from more than half of the listed routers, itself included,
 // that they have its list of servers, and from none that it has another.
 func (s *State) sharesList(now time.Time) bool {
+	return 2*s.sharingRouters(now) > len(s.Membership.ListedRouters)
+}
+
+// sharingRouters returns how many routers have just said that they have the list of this one, itself included, or zero if one
+// has said that it has another.
+func (s *State) sharingRouters(now time.Time) int {
 	sharing := 1
 	for _, peer := range s.Peers.ByName {
 		switch {
 		case now.Sub(peer.LastHeardAt) >= maxPeerSilence:
 		case peer.RosterHash != s.Roster.Hash:
-			return false
+			return 0
 		default:
 			sharing++
 		}
 	}
-	return 2*sharing > len(s.Membership.ListedRouters)
+	return sharing
 }
 
 // observeStandstill notes that the router has stood still before the present step, as its timer fires more often.
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -59,6 +59,7 @@
 		s.emit(LogRecord{
 			Event: "stream_version", RequestID: r.ID, Stream: r.StreamID, Version: version, Outcome: certainty(isCertain),
 			Elapsed: now.Sub(from), StreamAge: now.Sub(to), Detail: s.versionSource(r, history, from),
+			RosterAge: now.Sub(s.listConfirmedAt()), Sharing: s.sharingRouters(now),
 		})
 	}
 	if !isCertain || !s.hasServer(r.Service, version) {
@@ -133,6 +134,8 @@
 		return "unrecorded"
 	case from.Before(history.FollowedSince):
 		return "record"
+	case s.StreamVersions.Reading.Failures > 0:
+		return "unread"
 	}
 	return "followed"
 }
--- a/dottereltack/dtmeter/meter.go
+++ b/dottereltack/dtmeter/meter.go
@@ -70,6 +70,11 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_streams_recorded_total{outcome=%q}`, outcome)).Inc()
 }
 
+// CountStreamLookup counts a lookup of the version that began a stream, by whether it is "certain" and by what it is worked out from.
+func (m *Meter) CountStreamLookup(outcome, source string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_stream_lookups_total{outcome=%q,source=%q}`, outcome, source)).Inc()
+}
+
 // CountServerNotice counts an announcement of a backend server, "leaving" or "backoff".
 func (m *Meter) CountServerNotice(notice string) {
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_server_notices_total{notice=%q}`, notice)).Inc()
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -89,6 +89,8 @@
 		n.Meter.CountWait(e.Subject, e.Outcome, e.Waited)
 	case "stream_recorded", "stream_told":
 		n.Meter.CountStreamRecord(cmp.Or(e.Outcome, "told"))
+	case "stream_version":
+		n.Meter.CountStreamLookup(e.Outcome, e.Detail)
 	case "server_pace":
 		n.Meter.CountServerPace(e.Outcome)
 	case "server_leaving", "server_backoff":
@@ -137,6 +139,7 @@
 	add("site", e.ConfigVersion, e.ConfigVersion != 0)
 	add("list_age_ms", e.RosterAge.Milliseconds(), e.RosterAge != 0)
 	add("routers", e.RouterCount, e.RouterCount != 0)
+	add("sharing", e.Sharing, e.Event == "stream_version")
 	addRetryUsage(e, add)
 	add("stream_age_ms", e.StreamAge.Milliseconds(), e.StreamAge != 0)
 	add("version", e.Version, e.Version != "")
