dtdispatch: most routers that share a list do not show that it is the only one in use

What callers saw: streams that began at a new version went on at the old one. Cause: a router that can't read the store relied on its list if more than half of the routers had the same one; those may all be cut off, while the rest reads the store. Evidence: TestRoutersCutOffTogetherConfirmAnOldList, 'stream-2 at r3' at v1 instead of v2 before, passes now. Why it works: every router that may begin streams is listed; one that is not heard may have a newer list.

--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -67,6 +67,20 @@
 	return sharing
 }
 
+// isSharedByAll reports whether all listed routers have just said that they have the list of this one, and no router that it has another.
+func (s *State) isSharedByAll(now time.Time) bool {
+	if len(s.Membership.ListedRouters) == 0 || s.sharingRouters(now) == 0 {
+		return false
+	}
+	for name := range s.Membership.ListedRouters {
+		peer, isKnown := s.Peers.ByName[name]
+		if name != s.Settings.RouterName && (!isKnown || now.Sub(peer.LastHeardAt) >= maxPeerSilence) {
+			return false
+		}
+	}
+	return true
+}
+
 // observeStandstill notes that the router has stood still before the present step, as its timer fires more often.
 func (s *State) observeStandstill(now time.Time) {
 	v := &s.StreamVersions
--- /dev/null
+++ b/core/dtdispatch/outofstep_test.go
@@ -0,0 +1,25 @@
+package dtdispatch_test
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRoutersCutOffTogetherConfirmAnOldList guards against streams that go on at another version where most routers have lost the store and
+// the rest of the fleet, take the list that they share for the only one in use, and the others have begun streams at a new version.
+func TestRoutersCutOffTogetherConfirmAnOldList(t *testing.T) {
+	names, cutOff := []string{"r1", "r2", "r3", "r4", "r5"}, []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.begin(1)
+	f.takeUpAt(cutOff...) // They have read the record before.
+	f.begun, f.names = nil, []string{"r4", "r5"}
+	f.rejected = map[string]bool{"r1": true, "r2": true, "r3": true}
+	f.sides = map[string]int{"r4": 1, "r5": 1}
+	f.run(2*time.Second, names...)
+	f.setVersions("v1", "v2", "v2", "v2")
+	f.run(1200*time.Millisecond, names...)
+	f.begin(20)
+	f.run(300*time.Millisecond, names...)
+	f.takeUpAt(cutOff...) // It fails if one goes on at another version.
+	f.run(2*time.Second, names...)
+}
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -108,11 +108,11 @@
 }
 
 // mixesKnownUntil returns the time up to which this router knows all mixes of a service. While it can't read the store
-// but hears that most routers have the same list, no other list is in use.
+// but hears that all routers have the same list, no other list is in use; one that it does not hear may read the store.
 func (s *State) mixesKnownUntil(service string, now time.Time) time.Time {
 	v := &s.StreamVersions
 	until := now
-	isCutOff := v.Reading.Failures > 0 && !s.sharesList(now)
+	isCutOff := v.Reading.Failures > 0 && !s.isSharedByAll(now)
 	if !v.StoodStillAt.IsZero() || isCutOff || !s.followsList(now) {
 		until = s.listConfirmedAt()
 	}
