dtdispatch: what a router has said of its list does not hold for streams that begin later

What callers saw: streams that began at a new version went on at the old one, at a router that had lost first the store and then the others. Cause: a status confirmed the list for 0.7 s after it was heard, so that streams which began in that time counted as begun under it. Why it works: without the store a request waits, at most 1 s, until all routers have said after its arrival that they have the same list; its stream is older than that. A stream's latest possible time is that of the request which goes on with it, not the present, so that it can wait. TestStreamsGoOnWhileTheStoreIsAway gives the routers 0.3 s for that; all 30 streams still have to go on.

--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -67,18 +67,24 @@
 	return sharing
 }
 
-// isSharedByAll reports whether all listed routers have just said that they have the list of this one, and no router that it has another.
-func (s *State) isSharedByAll(now time.Time) bool {
+// sharedAsOf returns the time as of which all listed routers have said that they have the list of this one, or the zero time if one of
+// them is not heard of, or a router has another list.
+func (s *State) sharedAsOf(now time.Time) time.Time {
 	if len(s.Membership.ListedRouters) == 0 || s.sharingRouters(now) == 0 {
-		return false
+		return time.Time{}
 	}
+	asOf := now
 	for name := range s.Membership.ListedRouters {
+		if name == s.Settings.RouterName {
+			continue
+		}
 		peer, isKnown := s.Peers.ByName[name]
-		if name != s.Settings.RouterName && (!isKnown || now.Sub(peer.LastHeardAt) >= maxPeerSilence) {
-			return false
+		if !isKnown || now.Sub(peer.LastHeardAt) >= maxPeerSilence {
+			return time.Time{}
 		}
+		asOf = earlier(asOf, peer.LastHeardAt.Add(-peer.LateBy))
 	}
-	return true
+	return asOf
 }
 
 // observeStandstill notes that the router has stood still before the present step, as its timer fires more often.
--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -23,3 +23,25 @@
 	f.takeUpAt(cutOff...) // It fails if one goes on at another version.
 	f.run(2*time.Second, names...)
 }
+
+// TestRouterHeardBeforeAChangeConfirmsAnOldList guards against streams that go on at another version at a router that has lost first the
+// store and then the other routers: what those have said of their lists before counted for streams that have begun since.
+func TestRouterHeardBeforeAChangeConfirmsAnOldList(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	for lead := time.Duration(0); lead <= 500*time.Millisecond; lead += 50 * time.Millisecond { // The timers of the routers differ.
+		for wait := 100 * time.Millisecond; wait <= 650*time.Millisecond; wait += 50 * time.Millisecond {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt("r3") // It has read the record before.
+			f.begun, f.names = nil, []string{"r1", "r2"}
+			f.rejected = map[string]bool{"r3": true}
+			f.run(3*time.Second+lead, names...)
+			f.isolated = map[string]bool{"r3": true}
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(wait, names...)
+			f.begin(20)
+			f.takeUpAt("r3") // It fails if one goes on at another version.
+			f.run(time.Second, names...)
+		}
+	}
+}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -226,6 +226,7 @@
 	s.mergeCapacity(&status.CapacityNews, now)
 	s.mergeOperatorNews(status.From, &status.OperatorNews, now)
 	s.syncWithPeer(status, now)
+	s.releaseConfirmedResumes(now)
 }
 
 // observeClock records by how much the clock of the sender of a status differs from this router's, and logs it when
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -104,16 +104,21 @@
 // awaitsList reports whether the version of a stream can't be told before the list of servers is confirmed.
 func (s *State) awaitsList(r *Request, latest, now time.Time) bool {
 	_, isException := s.StreamVersions.Exceptions[r.StreamID]
-	return !isException && s.StreamVersions.Reading.Failures == 0 && latest.After(s.mixesKnownUntil(r.Service, now))
+	mayBeConfirmed := s.StreamVersions.Reading.Failures == 0 || !s.sharedAsOf(now).IsZero()
+	return !isException && mayBeConfirmed && latest.After(s.mixesKnownUntil(r.Service, now))
 }
 
-// mixesKnownUntil returns the time up to which this router knows all mixes of a service. While it can't read the store
-// but hears that all routers have the same list, no other list is in use; one that it does not hear may read the store.
+// mixesKnownUntil returns the time up to which this router knows all mixes of a service. While it can't read the store, no other
+// list has been in use before all routers have said that they have the same one: those that it does not hear may read the store.
 func (s *State) mixesKnownUntil(service string, now time.Time) time.Time {
 	v := &s.StreamVersions
 	until := now
-	isCutOff := v.Reading.Failures > 0 && !s.isSharedByAll(now)
-	if !v.StoodStillAt.IsZero() || isCutOff || !s.followsList(now) {
+	switch {
+	case !v.StoodStillAt.IsZero():
+		until = s.listConfirmedAt()
+	case v.Reading.Failures > 0:
+		until = later(s.listConfirmedAt(), s.sharedAsOf(now))
+	case !s.followsList(now):
 		until = s.listConfirmedAt()
 	}
 	if ahead, isBehind := v.Ahead[service]; isBehind {
@@ -167,21 +172,45 @@
 	return false
 }
 
-// nextRecordReadAt returns when the record is to be read for the requests that wait for it, or the zero time.
+// nextRecordReadAt returns when the record is to be read for the requests that wait for it, or when one of them has waited for
+// long enough while it can't be read, or the zero time.
 func (v *StreamVersions) nextRecordReadAt() time.Time {
 	if len(v.Held) == 0 || v.Reading.InProgress {
 		return time.Time{}
 	}
+	if v.Reading.Failures > 0 {
+		return earlier(v.retryReadAt(), v.Held[0].HeaderReadAt.Add(maxListHold))
+	}
 	return v.Reading.NextAt
 }
 
+func (v *StreamVersions) retryReadAt() time.Time {
+	return later(v.Reading.NextAt, v.Reading.RetryTime(maxRecordRetryDelay))
+}
+
 func (s *State) readRecordIfDue(now time.Time) {
 	v := &s.StreamVersions
-	if len(v.Held) > 0 && !now.Before(v.nextRecordReadAt()) {
+	switch {
+	case len(v.Held) == 0 || now.Before(v.nextRecordReadAt()):
+	case now.Before(v.retryReadAt()):
+		s.releaseHeldResumes(now)
+	default:
 		s.readVersionRecord(now)
 	}
 }
 
+// releaseConfirmedResumes handles the requests that wait, while the record can't be read, until all routers have said that they have
+// the same list.
+func (s *State) releaseConfirmedResumes(now time.Time) {
+	v := &s.StreamVersions
+	if len(v.Held) == 0 || v.Reading.InProgress || v.Reading.Failures == 0 {
+		return
+	}
+	if asOf := s.sharedAsOf(now); !asOf.IsZero() && !asOf.Before(v.Held[0].HeaderReadAt) {
+		s.releaseHeldResumes(now)
+	}
+}
+
 func (s *State) releaseHeldResumes(now time.Time) {
 	held := s.StreamVersions.Held
 	s.StreamVersions.Held = nil
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -150,17 +150,15 @@
 	return ev.HeaderReadAt.Add(ev.CallerTimeout - route.Timeout)
 }
 
-// streamTimes returns the earliest and the latest time that the stream may have with which a request goes on.
+// streamTimes returns the earliest and the latest time that the stream may have with which a request goes on. It has begun before the
+// request arrived.
 func (v *StreamVersions) streamTimes(route *Route, ev *RequestArrived, now time.Time) (from, to time.Time) {
 	timeouts := v.Timeouts[route.Name]
 	if ev.CallerTimeout <= 0 || ev.CallerTimeout > timeouts.Max {
-		return now.Add(-maxStreamAge), now
+		return now.Add(-maxStreamAge), ev.HeaderReadAt
 	}
 	deadline := ev.HeaderReadAt.Add(ev.CallerTimeout)
-	to = deadline.Add(maxTransit + mixSkew - timeouts.Min)
-	if to.After(now) {
-		to = now
-	}
+	to = earlier(deadline.Add(maxTransit+mixSkew-timeouts.Min), ev.HeaderReadAt)
 	return deadline.Add(-timeouts.Max - maxTransit - mixSkew), to
 }
 
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -754,6 +754,7 @@
 		goOn++
 	}
 	f.takeUp()
+	f.run(300*time.Millisecond, f.names...) // By when all routers have said again that they have the same list.
 	f.Expect(goOn).To(Equal(30))
 }
 
