dtdispatch: a list that is as before does not show that no version has come and gone

What callers saw: streams that began at servers of a new version went on at the old one, at a router that had stood still or had been cut off while these servers joined and left again. Cause: only a change of the mix marked the time out of step as unknown; where the list after it equals the one before, nothing did, and the record is compared by its last mix. Why it works: each time without the list is a gap; it is filled from the record, all of it to its end, or closed if the record shows no change in it. A router with one version reads the record for streams that may have begun in such a time.

--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -126,6 +126,22 @@
 	}
 }
 
+// noteGaps records that this router has not followed the list of servers until now, if it has just been confirmed: other mixes may
+// have come into force and gone meanwhile, although the list is what it was.
+func (s *State) noteGaps(now time.Time) {
+	v := &s.StreamVersions
+	since := s.notFollowedSince(now)
+	if since.IsZero() || v.checkedAt.IsZero() || !s.Roster.ListedAt.After(v.checkedAt) {
+		return
+	}
+	v.NotFollowedUntil = now
+	for _, service := range sortedKeys(v.ByService) {
+		if v.ByService[service].addGap(since, now) {
+			s.emit(LogRecord{Event: "list_gap", Subject: service, Elapsed: now.Sub(since)})
+		}
+	}
+}
+
 // endStandstill forgets a standstill once the list has been confirmed by what was sent since: what was sent before
 // is in the router's buffers, and arrives within standstillMargin.
 func (s *State) endStandstill(now time.Time) {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -172,6 +172,7 @@
 	s.endStartupHolds(now)
 	s.endRoomWaits(now)
 	s.endTurnWaits(now)
+	s.noteGaps(now)
 	s.endStandstill(now)
 	if s.Roster.ListedAt.After(s.StreamVersions.checkedAt) {
 		s.forwardHeldStreams(now)
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -114,10 +114,12 @@
 	return "held"
 }
 
-// isVersionSince reports whether all mixes from a time until recordedSkew after that of a new stream give it a version.
+// isVersionSince reports whether all mixes from a time until recordedSkew after that of a new stream give it a version. A gap in which
+// other mixes have come and gone says nothing of streams that begin after it.
 func (h *VersionHistory) isVersionSince(from time.Time, r *Request, version string) bool {
-	found, isCertain := h.VersionBetween(r.StreamID, from, r.StreamTime.Add(recordedSkew))
-	return isCertain && found == version
+	to := r.StreamTime.Add(recordedSkew)
+	found, isCertain := h.versionOfMixes(r.StreamID, from, to)
+	return isCertain && found == version && !h.hasChangedUnseen(from, to)
 }
 
 // recordRecentVersions records the versions of streams of a service that have begun so shortly before a change of
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -46,7 +46,7 @@
 		return true // No server of the service has ever been listed.
 	}
 	from, to := v.streamTimes(r.Route, ev, now)
-	if !s.isRecordFresh(history, ev, to, now) {
+	if !s.isRecordFresh(history, ev, from, to, now) {
 		return s.holdForRecord(r, ev, now)
 	}
 	if s.awaitsList(r, to, now) && now.Sub(ev.HeaderReadAt) < maxListHold && len(v.Held) < maxHeldResumes {
@@ -72,13 +72,13 @@
 
 // isRecordFresh reports whether the record has been read that a request needs which goes on with a stream: after the request
 // arrived, since the stream may have broken off right after it was recorded. While the store can't be read, what is
-// known must do. Without a change of the mix up to the latest time of the stream there are no exceptions.
-func (s *State) isRecordFresh(history *VersionHistory, ev *RequestArrived, latest, now time.Time) bool {
+// known must do. Without a change of the mix from the earliest to the latest time of the stream there are no exceptions.
+func (s *State) isRecordFresh(history *VersionHistory, ev *RequestArrived, earliest, latest, now time.Time) bool {
 	v := &s.StreamVersions
 	switch {
 	case v.LoadedAt.IsZero():
 		return false
-	case len(history.Mixes) == 1 && len(history.Weights()) == 1 && !s.listConfirmedAt().Before(latest):
+	case len(history.Mixes) == 1 && len(history.Weights()) == 1 && !s.listConfirmedAt().Before(latest) && earliest.After(v.NotFollowedUntil):
 		return true
 	case now.Before(v.Reading.RetryTime(maxRecordRetryDelay)):
 		return true
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -49,6 +49,7 @@
 	Ahead            map[string]time.Time      // By service: since when the record has mixes that this router has not applied.
 	StoodStillAt     time.Time                 // Of the last step before the router stood still; zero once it has heard of the list since.
 	WokeAt           time.Time                 // Of the first step after that one.
+	NotFollowedUntil time.Time                 // End of the last time in which this router has not followed the list of servers.
 	WrittenClock     RecordClock               // Of the mixes that this router has written last.
 	ClockWrittenAt   time.Time
 	RecordedClocks   map[string]time.Duration // By router: by how much its clock is ahead, by the record.
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -98,7 +98,7 @@
 // is zero otherwise, other routers may have applied these and other weights from then on.
 func (h *VersionHistory) Change(weights map[string]int, notFollowedSince, now time.Time) {
 	if len(h.Mixes) > 0 && !notFollowedSince.IsZero() {
-		h.Gaps = append(h.Gaps, MixGap{From: notFollowedSince, To: now})
+		h.addGap(notFollowedSince, now)
 	}
 	if h.FollowedSince.IsZero() {
 		h.FollowedSince = now
@@ -107,33 +107,69 @@
 	h.trim(now)
 }
 
+// addGap records that the router has not followed the list between two times, and reports whether that is new.
+func (h *VersionHistory) addGap(from, to time.Time) bool {
+	if n := len(h.Gaps); n > 0 && h.Gaps[n-1].From.Equal(from) {
+		h.Gaps[n-1].To = later(h.Gaps[n-1].To, to)
+		return false
+	}
+	h.Gaps = append(h.Gaps, MixGap{From: from, To: to})
+	return true
+}
+
 // fillGaps adds the mixes of the gaps from a history that another router has recorded, which knows them if it has
-// the mix as of their end.
+// the mix as of their end, or if neither has changed. What has begun under a mix that is not recorded is listed by its ID.
 func (h *VersionHistory) fillGaps(recorded *VersionHistory) {
 	h.Gaps = slices.DeleteFunc(h.Gaps, func(gap MixGap) bool {
 		if recorded.KnownSince.After(gap.From) || recorded.hasGapBetween(gap.From, gap.To) {
 			return false
 		}
-		end := slices.IndexFunc(recorded.Mixes, func(mix VersionMix) bool {
-			return mix.earliest().After(gap.From) && !mix.latest().After(gap.To.Add(mixSkew)) && maps.Equal(mix.Weights, h.WeightsAt(gap.To))
-		})
-		if end < 0 {
+		mixes, isWhole := recorded.mixesOf(gap, h.WeightsAt(gap.To))
+		if !isWhole && !h.isUnchanged(recorded, gap) {
 			return false
 		}
-		for _, mix := range recorded.Mixes[:end+1] {
-			if mix.latest().After(gap.From) && mix.earliest().Before(gap.To) {
-				h.add(mix)
-			}
+		for _, mix := range mixes {
+			h.add(mix)
 		}
 		slices.SortStableFunc(h.Mixes, func(a, b VersionMix) int { return a.At.Compare(b.At) })
 		return true
 	})
 }
 
+// mixesOf returns the mixes of a gap, and whether the last of them is the one as of its end.
+func (h *VersionHistory) mixesOf(gap MixGap, atEnd map[string]int) (mixes []VersionMix, isWhole bool) {
+	for _, mix := range h.Mixes {
+		isAtEnd := mix.earliest().After(gap.From) && !mix.latest().After(gap.To.Add(mixSkew)) && maps.Equal(mix.Weights, atEnd)
+		isInside := mix.latest().After(gap.From) && mix.earliest().Before(gap.To)
+		if isInside {
+			mixes = append(mixes, mix)
+		}
+		mayBeNext := mix.latest().After(gap.To.Add(-mixSkew)) // This router may apply it next.
+		isWhole = isAtEnd || isWhole && (!isInside || mayBeNext)
+	}
+	return mixes, isWhole
+}
+
+// isUnchanged reports whether the mix before a gap and after it is the one that is recorded for all of it.
+func (h *VersionHistory) isUnchanged(recorded *VersionHistory, gap MixGap) bool {
+	hasChanged := func(mix VersionMix) bool { return mix.latest().After(gap.From) && !mix.earliest().After(gap.To) }
+	if len(recorded.Mixes) == 0 || len(h.Mixes) == 0 || slices.ContainsFunc(h.Mixes, hasChanged) || slices.ContainsFunc(recorded.Mixes[1:], hasChanged) {
+		return false
+	}
+	return maps.Equal(h.WeightsAt(gap.To), recorded.WeightsAt(gap.To))
+}
+
 func (h *VersionHistory) hasGapBetween(from, to time.Time) bool {
 	return slices.ContainsFunc(h.Gaps, func(gap MixGap) bool { return !gap.From.After(to) && !gap.To.Before(from) })
 }
 
+// hasChangedUnseen reports whether the mix after a gap between two times is another than before it.
+func (h *VersionHistory) hasChangedUnseen(from, to time.Time) bool {
+	return slices.ContainsFunc(h.Gaps, func(gap MixGap) bool {
+		return !gap.From.After(to) && !gap.To.Before(from) && !maps.Equal(h.WeightsAt(gap.From), h.WeightsAt(gap.To))
+	})
+}
+
 // aheadSince returns the time of the first mix of a recorded history after all of this one, or the zero time.
 func (h *VersionHistory) aheadSince(recorded *VersionHistory) time.Time {
 	if len(h.Mixes) == 0 || maps.Equal(recorded.Weights(), h.Weights()) {
@@ -246,7 +282,15 @@
 // VersionBetween returns the version of a stream whose time is between from and to, and whether that is
 // certain.
 func (h *VersionHistory) VersionBetween(streamID string, from, to time.Time) (version string, isCertain bool) {
-	if len(h.Mixes) == 0 || from.Before(h.KnownSince) || h.hasGapBetween(from, to) {
+	if h.hasGapBetween(from, to) {
+		return "", false
+	}
+	return h.versionOfMixes(streamID, from, to)
+}
+
+// versionOfMixes is VersionBetween for the mixes that this router knows, whatever else was in force in gaps.
+func (h *VersionHistory) versionOfMixes(streamID string, from, to time.Time) (version string, isCertain bool) {
+	if len(h.Mixes) == 0 || from.Before(h.KnownSince) {
 		return "", false
 	}
 	found := false
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -178,6 +178,7 @@
 	v.MixWrite.DueAt = time.Time{}
 	for service, history := range v.ByService {
 		old := recorded[service]
+		history.fillGaps(&old)
 		if isNew := history.Merge(&old, now); isNew && len(history.Mixes) > 0 {
 			v.MixWrite.markDue(now)
 		}
