--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -51,35 +51,45 @@
 // TestReleaseTakenBackWhileARouterIsOutOfStep guards against streams that go on at another version at a router that was out of step while
 // servers of a new version joined and left again: it lists the servers of before, and took them for those of all the time.
 func TestReleaseTakenBackWhileARouterIsOutOfStep(t *testing.T) {
-	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
 	for name, isCutOff := range map[string]bool{"stands still": false, "cut off": true} {
 		for _, wait := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
 			t.Run(name+" "+wait.String(), func(t *testing.T) {
-				f := newStreams(t, names...)
-				f.begin(1)
-				f.takeUpAt("r3") // It has read the record before.
-				f.begun, f.names = nil, others
-				running := others
-				if isCutOff {
-					running = names
-					f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
-				}
-				f.down["r3"] = !isCutOff
-				f.setVersions("v1", "v2", "v2", "v2")
-				f.run(900*time.Millisecond, running...)
-				f.begin(20)
-				f.run(900*time.Millisecond, running...)
-				f.setVersions("v1", "v1", "v1", "v1")
-				f.run(600*time.Millisecond, running...)
-				f.isolated, f.rejected, f.down["r3"] = nil, nil, false
-				f.routers["r3"].now = f.routers["r1"].now
-				f.run(wait, names...)
-				goOn := f.takeUpAt("r3") // It fails if one goes on at another version.
-				if wait >= time.Second {
-					f.Expect(goOn).To(BeNumerically(">", 0), "those that began at the version that is left")
-				}
-				f.run(2*time.Second, names...)
+				takeBackWhileOutOfStep(t, isCutOff, 900*time.Millisecond, 900*time.Millisecond, wait)
 			})
 		}
+		t.Run(name+" for long", func(t *testing.T) { // Streams that begin long after a change are not listed by their ID.
+			takeBackWhileOutOfStep(t, isCutOff, 4500*time.Millisecond, 2200*time.Millisecond, 300*time.Millisecond)
+		})
 	}
 }
+
+// takeBackWhileOutOfStep has streams begin, some time after servers of a new version have joined and before they leave again, while r3
+// stands still or is cut off. They are taken up there some time after it is back.
+func takeBackWhileOutOfStep(t *testing.T, isCutOff bool, before, after, wait time.Duration) {
+	t.Helper()
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	f := newStreams(t, names...)
+	f.begin(1)
+	f.takeUpAt("r3") // It has read the record before.
+	f.begun, f.names = nil, others
+	running := others
+	if isCutOff {
+		running = names
+		f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+	}
+	f.down["r3"] = !isCutOff
+	f.setVersions("v1", "v2", "v2", "v2")
+	f.run(before, running...)
+	f.begin(20)
+	f.run(after, running...)
+	f.setVersions("v1", "v1", "v1", "v1")
+	f.run(600*time.Millisecond, running...)
+	f.isolated, f.rejected, f.down["r3"] = nil, nil, false
+	f.routers["r3"].now = f.routers["r1"].now
+	f.run(wait, names...)
+	goOn := f.takeUpAt("r3") // It fails if one goes on at another version.
+	if wait >= time.Second {
+		f.Expect(goOn).To(BeNumerically(">", 0), "those that began at the version that is left")
+	}
+	f.run(2*time.Second, names...)
+}
