dtrelay: a caller that has sent more than its request leaves unnoticed

Callers that had sent a line end or their next request behind a request were not missed when they closed or reset their connections: the server worked on up to the end of its response, also on a stream that was silent.

The goroutine that watches the connection returned with the first byte behind the request, so that nothing read from the connection until the response had ended.

The watch reads on while the request is served. The bytes stay in the buffer for the next request, and the end of the exchange ends the read by its deadline, decided under a mutex so that neither side waits for the other. A connection whose buffer is full is checked by polling, as the kernel reports an end also behind unread data.

--- /dev/null
+++ b/dottereltack/dtnode/callerleft_test.go
@@ -0,0 +1,78 @@
+package dtnode_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// maxWorkAfterLeave is how long a server may work for a caller that has left.
+const maxWorkAfterLeave = 500 * time.Millisecond
+
+// TestServerWorksOnForACallerWithUnreadBytes guards against the end of a caller's connection going unnoticed behind bytes
+// that follow the request.
+func TestServerWorksOnForACallerWithUnreadBytes(t *testing.T) {
+	const next = "GET /read/next HTTP/1.1\r\nHost: h\r\nX-Id: next\r\n\r\n"
+	for name, unread := range map[string]string{
+		"line end": "\r\n", "next request": next, "more than the buffer": strings.Repeat(next, 512),
+	} {
+		for _, path := range []string{"/once/x", "/stream/x"} {
+			for end, leave := range map[string]func(*net.TCPConn) error{
+				"close": (*net.TCPConn).Close,
+				"reset": func(c *net.TCPConn) error {
+					_ = c.SetLinger(0)
+					return c.Close()
+				},
+			} {
+				t.Run(name+path+"/"+end, func(t *testing.T) {
+					t.Parallel()
+					working, endedAt := make(chan struct{}, 1), make(chan time.Time, 1)
+					n := newNode(t, newServer(t, func(id string, _ *http.Request, c net.Conn) {
+						if path == "/stream/x" {
+							_, _ = io.WriteString(c, streamHead(id)+chunk(event(1)))
+						}
+						working <- struct{}{}
+						_, _ = c.Read(make([]byte, 1))
+						endedAt <- time.Now()
+					}))
+					c := n.dial()
+					c.send(path, "q", "")
+					_ = c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // The router need not take them all.
+					_, _ = io.WriteString(c, unread)
+					n.Eventually(working, "2s").Should(Receive())
+					tcp, _ := c.Conn.(*net.TCPConn)
+					leftAt := time.Now()
+					n.Expect(leave(tcp)).To(Succeed())
+					var noticedAt time.Time
+					n.Eventually(endedAt, "1500ms").Should(Receive(&noticedAt))
+					n.Expect(noticedAt.Sub(leftAt)).To(BeNumerically("<", maxWorkAfterLeave))
+				})
+			}
+		}
+	}
+}
+
+// TestPipelinedRequestsAreServed guards against a request being lost that has arrived while the one before was served.
+func TestPipelinedRequestsAreServed(t *testing.T) {
+	const count = 20
+	n := newNode(t, newServer(t, func(id string, _ *http.Request, c net.Conn) {
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(c, okResponse(id, id))
+	}))
+	c := n.dial()
+	for i := range count {
+		c.send("/read/x", fmt.Sprint("q", i), "body")
+		time.Sleep(5 * time.Millisecond)
+	}
+	for i := range count {
+		resp, err := c.readResponse()
+		n.Expect(err).NotTo(HaveOccurred())
+		n.Expect(resp.body).To(Equal(fmt.Sprint("q", i)))
+	}
+}
--- a/dottereltack/dtrelay/relay.go
+++ b/dottereltack/dtrelay/relay.go
@@ -300,26 +300,25 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x.ctx = ctx
 	stop := context.AfterFunc(ctx, x.cancelAttempt)
-	done := make(chan struct{})
+	watch := newCallerWatch(x.caller)
 	var wg conc.WaitGroup
 	_ = x.caller.SetReadDeadline(time.Time{})
 	wg.Go(func() {
-		defer close(done)
 		x.serve()
 		x.body, x.fallback = nil, nil // The exchange is kept until the next request arrives.
 		r.setBusy(x.caller, false)
 		if x.closeAfterResponse {
 			_ = x.caller.Close()
-			return
 		}
-		_ = x.caller.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-		x.caller.holder.SetStage(dtintake.StageIdle, time.Now()) // After the deadline, which a closing replaces.
+		watch.end(limits.IdleTimeout)
+		if !x.closeAfterResponse {
+			x.caller.holder.SetStage(dtintake.StageIdle, time.Now()) // After the deadline, which a closing replaces.
+		}
 	})
-	_, err := x.caller.reader.Peek(1)
+	err := watch.run()
 	if err != nil {
 		cancel()
 	}
-	<-done
 	wg.Wait()
 	stop()
 	cancel()
--- a/dottereltack/dtrelay/stream.go
+++ b/dottereltack/dtrelay/stream.go
@@ -18,6 +18,9 @@
 // errCallerWrite is returned if a response can't be written to the caller.
 var errCallerWrite = errors.New("write to caller failed")
 
+// errCallerClosed is returned if a caller has closed its connection.
+var errCallerClosed = errors.New("caller has closed its connection")
+
 // errAttemptEnded is returned if the reducer has ended the attempt.
 var errAttemptEnded = errors.New("attempt ended while its stream was held")
 
--- a/dottereltack/dtsocket/socket_linux.go
+++ b/dottereltack/dtsocket/socket_linux.go
@@ -59,6 +59,23 @@
 	return err == nil && idle
 }
 
+// HasPeerClosed reports whether the peer has closed or reset the connection, also if there is unread data before that; it returns
+// false if c is not a TCP connection.
+func HasPeerClosed(c net.Conn) bool {
+	raw, err := rawConn(c)
+	if raw == nil || err != nil {
+		return false
+	}
+	hasClosed := false
+	err = raw.Control(func(fd uintptr) {
+		const end = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} //nolint:gosec // A file descriptor.
+		n, pollErr := unix.Poll(fds, 0)
+		hasClosed = pollErr == nil && n > 0 && fds[0].Revents&end != 0
+	})
+	return err == nil && hasClosed
+}
+
 // Unacknowledged returns the number of bytes that were written to the socket and that the kernel of the peer has not
 // acknowledged, which is zero if c is not a TCP connection.
 func Unacknowledged(c net.Conn) int {
