dtrelay: a server gets the rest of a request whose caller has left

A server that took a request slowly, or whose packets were held up, got the rest of it seconds after the caller had left.

The router closed its connection to the server at once, but the kernel delivers what has been written before it states the end: some MB to a slow reader, or the whole request once the packets pass again, until the user timeout of 2.5 s.

A connection that is given up is reset if the server's kernel has not acknowledged all that was written, which drops it. Otherwise it is closed in order as before: the kernel repeats that until it has arrived, and a reset may be lost. The same holds for attempts that end at their deadline, whose requests are not to arrive later either.

--- a/dottereltack/dtnode/callerleft_test.go
+++ b/dottereltack/dtnode/callerleft_test.go
@@ -76,3 +76,30 @@
 		n.Expect(resp.body).To(Equal(fmt.Sprint("q", i)))
 	}
 }
+
+// TestServerGetsTheRestOfARequestWhoseCallerHasLeft guards against a server that goes on reading a request from the buffers of
+// the router's kernel.
+func TestServerGetsTheRestOfARequestWhoseCallerHasLeft(t *testing.T) {
+	const readBytes, readInterval = 64 << 10, 30 * time.Millisecond
+	working, leave, endedAt := make(chan struct{}, 1), make(chan struct{}), make(chan time.Time, 1)
+	n := newNode(t, startServer(t, &simulatedServer{isEarly: true}, func(_ string, req *http.Request, _ net.Conn) {
+		working <- struct{}{}
+		<-leave
+		buffer, err := make([]byte, readBytes), error(nil)
+		for err == nil {
+			time.Sleep(readInterval)
+			_, err = req.Body.Read(buffer)
+		}
+		endedAt <- time.Now()
+	}))
+	c := n.dial()
+	c.send("/once/x", "q", strings.Repeat("b", 16<<20))
+	n.Eventually(working, "2s").Should(Receive())
+	time.Sleep(200 * time.Millisecond) // Until the buffers are full.
+	leftAt := time.Now()
+	n.Expect(c.Close()).To(Succeed())
+	close(leave)
+	var noticedAt time.Time
+	n.Eventually(endedAt, "10s").Should(Receive(&noticedAt))
+	n.Expect(noticedAt.Sub(leftAt)).To(BeNumerically("<", maxWorkAfterLeave))
+}
--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -405,7 +405,7 @@
 		}
 	}
 	if !keep {
-		_ = a.conn.Close()
+		a.conn.abandon()
 		return
 	}
 	if a.info.IdleTimeout > 0 {
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -159,7 +159,7 @@
 	x.mu.Lock()
 	x.callerDisconnected = true
 	if x.conn != nil {
-		_ = x.conn.Close()
+		x.conn.abandon()
 	}
 	isUndecided := x.isUndecided
 	x.mu.Unlock()
@@ -173,7 +173,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.conn != nil {
-		_ = x.conn.Close()
+		x.conn.abandon()
 	}
 }
 
--- a/dottereltack/dtrelay/pool.go
+++ b/dottereltack/dtrelay/pool.go
@@ -277,6 +277,16 @@
 	return c.reader.Buffered() == 0 && dtsocket.IsIdle(c.Conn)
 }
 
+// abandon closes the connection, and drops what the server has not got of the request.
+func (c *serverConn) abandon() {
+	conn := c.Conn
+	if tunnel, ok := conn.(*dttunnel.Conn); ok {
+		conn = tunnel.Conn
+	}
+	dtsocket.ResetIfUnacknowledged(conn)
+	_ = c.Close()
+}
+
 // unacknowledged returns the number of bytes that have been written to the connection, or to the router that has opened the tunnel, and
 // have not arrived.
 func (c *serverConn) unacknowledged() int {
--- a/dottereltack/dtsocket/socket_linux.go
+++ b/dottereltack/dtsocket/socket_linux.go
@@ -88,6 +88,15 @@
 	return max(n, 0)
 }
 
+// ResetIfUnacknowledged has the closing of a connection reset it if the peer has not acknowledged all that was written, which the
+// kernel would still deliver; it does nothing if c is not a TCP connection. An end in order is sent again until it has arrived, which a
+// reset is not.
+func ResetIfUnacknowledged(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok && Unacknowledged(c) > 0 {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // rawConn returns the syscall.RawConn of a TCP connection, or nil for any other
 // connection.
 func rawConn(c net.Conn) (syscall.RawConn, error) {
