dttunnel: a router does not see that the other end has abandoned a request

A server that was reached by way of another router, and that took its request slowly or not at all, worked on for callers that had left.

The router that had opened the tunnel was blocked in the write to the server, so that it did not read the end of the other router's side; and what its own kernel had was still delivered after it had closed.

While the server takes nothing, the other router's side is checked for its end every 100 ms, which the kernel reports without a read. The connection to the server is reset if it has not got everything.

--- a/dottereltack/dttunnel/server.go
+++ b/dottereltack/dttunnel/server.go
@@ -227,7 +227,8 @@
 	return &serverConn{Conn: c, buffer: buffer}, reply{Result: ResultOpened}
 }
 
-// serverConn is a connection to a server that returns its receive buffer once it is closed.
+// serverConn is a connection to a server that returns its receive buffer once it is closed. What the server has not got by then is
+// dropped.
 type serverConn struct {
 	net.Conn
 	buffer *dtbudget.ReceiveBuffer
@@ -235,6 +236,7 @@
 
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
+	dtsocket.ResetIfUnacknowledged(c.Conn)
 	err := c.Conn.Close()
 	c.buffer.Return()
 	return err
--- a/dottereltack/dttunnel/tunnel.go
+++ b/dottereltack/dttunnel/tunnel.go
@@ -11,14 +11,20 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
+// closeCheckInterval is how often the side of the other router is checked for its end while the server takes nothing.
+const closeCheckInterval = 100 * time.Millisecond
+
 // tunnel copies bytes between another router and a server.
 type tunnel struct {
 	router net.Conn
 	server net.Conn
 
-	mu             sync.Mutex // Guards the fields below, and the read deadline of server.
+	mu             sync.Mutex // Guards the fields below, and the deadlines of server.
+	writeEnd       time.Time  // Until then the server may take what is sent to it; zero while it has not ended its side.
 	lastByteAt     time.Time  // In either direction.
 	lastFromServer bool       // No request is in progress, unless the server pauses in its response.
 	isStopping     bool
@@ -54,7 +60,9 @@
 		n, err := t.router.Read(buffer)
 		if n > 0 {
 			t.noteBytes(false)
-			_, _ = t.server.Write(buffer[:n])
+			if !t.writeServer(buffer[:n]) {
+				return
+			}
 		}
 		if err != nil {
 			return
@@ -62,6 +70,33 @@
 	}
 }
 
+// writeServer sends b to the server. It returns false if the other router has left before the server has taken it.
+func (t *tunnel) writeServer(b []byte) bool {
+	for {
+		end := t.prepareWrite(time.Now())
+		n, err := t.server.Write(b)
+		b = b[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !end.IsZero() && !time.Now().Before(end) {
+			return true
+		}
+		if dtsocket.HasPeerClosed(t.router) {
+			return false
+		}
+	}
+}
+
+// prepareWrite sets the write deadline of the server's side, and returns writeEnd.
+func (t *tunnel) prepareWrite(now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	deadline := now.Add(closeCheckInterval)
+	if !t.writeEnd.IsZero() && t.writeEnd.Before(deadline) {
+		deadline = t.writeEnd
+	}
+	_ = t.server.SetWriteDeadline(deadline)
+	return t.writeEnd
+}
+
 // copyResponses copies what the server sends, in parts, until it has ended its side, and then states how. The other
 // router is given lingerTimeout to close its side.
 func (t *tunnel) copyResponses() {
@@ -93,7 +128,9 @@
 		_ = half.CloseWrite() // A full close could reset the connection and lose what is under way.
 	}
 	_ = t.router.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_ = t.server.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	t.mu.Lock()
+	t.writeEnd = time.Now().Add(lingerTimeout)
+	t.mu.Unlock()
 }
 
 // readServer reads from the server until a byte comes, or returns os.ErrDeadlineExceeded once the tunnel has not been used for too long. It
