dtdispatch: a router that is cut off begins streams by the list that it last had

What callers saw: streams that began at v1, at a router that was cut off from the store and the others while servers of v2 joined, went on at v2 where they were taken up at routers in step. Cause: these relied on all routers following the list, also those that they had not heard for seconds; a router that has known one version serves on. Why it works: each router notes as of when the lists of the others were last current, and is certain only if all mixes since then give the same version, but for versions without servers for 10 s. Price: routers list the streams that this makes uncertain elsewhere, without holding them, so that they go on.

--- /dev/null
+++ b/core/dtdispatch/latelist_test.go
@@ -0,0 +1,42 @@
+package dtdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestStreamsGoOnBesideARouterThatIsGone guards against refusals for as long as a router that has been killed may yet be one that is cut
+// off and begins streams at the former version.
+func TestStreamsGoOnBesideARouterThatIsGone(t *testing.T) {
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for name, lose := range map[string]func(f *streams){
+		"killed":                   func(f *streams) { f.down["r3"] = true },
+		"cut off":                  func(f *streams) { f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true} },
+		"cut off from routers":     func(f *streams) { f.isolated = map[string]bool{"r3": true} },
+		"cut off from the store":   func(f *streams) { f.rejected = map[string]bool{"r3": true} },
+		"no router is out of step": func(*streams) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.areOpen = true
+			f.begin(1)
+			f.takeUpAt(names...)
+			f.names = others
+			lose(f)
+			f.run(time.Second, names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			taken, wentOn := 0, 0
+			for range 40 {
+				f.begun = nil
+				f.begin(12)
+				f.run(600*time.Millisecond, names...)
+				n := f.takeUpAt(others...)
+				taken, wentOn = taken+len(f.begun), wentOn+n
+			}
+			t.Logf("%d of %d go on, %d writes to the record", wentOn, taken, f.recordWrites)
+			f.Expect(wentOn).To(BeNumerically(">", taken*9/10))
+		})
+	}
+}
--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -114,6 +114,15 @@
 	for _, history := range v.ByService {
 		history.shift(-ev.Uncounted)
 	}
+	for i, lag := range v.ListLags {
+		v.ListLags[i] = ListLag{From: lag.From.Add(-ev.Uncounted), To: lag.To.Add(-ev.Uncounted)}
+	}
+	for name, peer := range s.Peers.ByName {
+		if !peer.ListCurrentAt.IsZero() {
+			peer.ListCurrentAt = peer.ListCurrentAt.Add(-ev.Uncounted)
+			s.Peers.ByName[name] = peer
+		}
+	}
 	for id, exception := range v.Exceptions {
 		exception.At = exception.At.Add(-ev.Uncounted)
 		v.Exceptions[id] = exception
--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -93,3 +93,25 @@
 	}
 	f.run(2*time.Second, names...)
 }
+
+// TestStreamsBegunAtARouterThatIsCutOffAreMixed guards against streams that go on at another version than that at which a router has begun
+// them that is cut off from the store and the others: it has known one version only and serves on.
+func TestStreamsBegunAtARouterThatIsCutOffAreMixed(t *testing.T) {
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for _, lead := range []time.Duration{0, time.Second, 4 * time.Second} {
+		t.Run(lead.String(), func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt(names...) // They have read the record before.
+			f.begun = nil
+			f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			f.run(lead, names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(4*time.Second, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.takeUpAt(others...) // It fails if one goes on at another version.
+		})
+	}
+}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -133,6 +133,7 @@
 	SettledAhead      time.Duration // By how much its clock is ahead, less the usual transit of a status.
 	Unreachable       []string      // Services that it can't connect to, as of its last status.
 	LateBy            time.Duration // By how much longer than usual its last status was under way.
+	ListCurrentAt     time.Time     // As of when its list of servers was last known to be the one in use.
 	Features          FeatureSet    // As of its last status.
 	ListsLackVersions bool          // This incarnation's lists of servers don't say which software versions these have.
 	ServesSince       time.Time     // When it was first heard to list servers, by this incarnation of it.
@@ -208,6 +209,7 @@
 	}
 	s.observeRecorder(&peer, &previous, status, now)
 	s.observeClock(&peer, status, now)
+	s.observeList(&peer, &previous, status, now)
 	p.ByName[status.From] = peer
 	if s.hashesNoVersions(status) {
 		s.noteListWithoutVersions(status.From, now)
@@ -328,6 +330,7 @@
 		return
 	}
 	p.NextStatusAt = now.Add(s.statusInterval(now))
+	s.listStreamsBesideLateLists(now)
 	status := s.peerStatus(now)
 	status.Crashes = s.crashNews(&p.CrashCursor, true, now)
 	status.Rates = s.rateReports(&p.RateCursor, true, now)
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -74,7 +74,7 @@
 	isRegular := !isException && isInRecord && (len(history.Mixes) == 1 || s.followsList(now)) && history.isVersionSince(r.StreamTime.Add(-recordedSkew), r, version)
 	delay, isSpare := exceptionDelay, false
 	if isRegular && history.isVersionSince(later(r.StreamTime.Add(-maxTransit-s.maxFollowedAge()-recordedSkew), history.KnownSince), r, version) {
-		isSpare = s.mayCountAsUnrecorded(r) && s.mayAddSpare(now)
+		isSpare = s.isUncertainElsewhere(r, history, version) && s.mayAddSpare(now)
 		if !isSpare {
 			return
 		}
@@ -133,12 +133,18 @@
 		r := s.Requests[number]
 		isNew := r.Service == service && r.keepsVersion() && r.ResumeAfter == "" && r.Attempt > 0
 		isRecent := since.Sub(r.StreamTime) <= s.maxFollowedAge()+recordedSkew
-		if isNew && (isRecent || s.mayCountAsUnrecorded(r)) {
+		if isNew && (isRecent || s.isUncertainElsewhere(r, history, r.begunVersion())) {
 			s.recordVersion(r, history, r.begunVersion(), now)
 		}
 	}
 }
 
+// isUncertainElsewhere reports whether other routers may take a new stream that is not listed for one that began at a router which does
+// not know the present mix, or no versions at all.
+func (s *State) isUncertainElsewhere(r *Request, history *VersionHistory, version string) bool {
+	return s.mayCountAsUnrecorded(r) || s.mayCountAsLateListed(r, history, version)
+}
+
 // begunVersion returns the version that has begun a new stream or, before its first event, the one of the server that
 // has the request.
 func (r *Request) begunVersion() string {
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -98,7 +98,8 @@
 	if s.mayBeUnrecorded(from) {
 		return s.lookUpUnrecorded(history, from, now)
 	}
-	return history.VersionBetween(r.StreamID, from.Add(-s.maxFollowedAge()), to)
+	version, isCertain := history.VersionBetween(r.StreamID, from.Add(-s.maxFollowedAge()), to)
+	return version, isCertain && !s.mayBeOfLateList(history, r.StreamID, version, from, to)
 }
 
 // awaitsList reports whether the version of a stream can't be told before the list of servers is confirmed.
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -53,6 +53,8 @@
 	WrittenClock     RecordClock               // Of the mixes that this router has written last.
 	ClockWrittenAt   time.Time
 	RecordedClocks   map[string]time.Duration // By router: by how much its clock is ahead, by the record.
+	ListLags         []ListLag                // Of other routers, up to maxStreamAge ago.
+	IsListLate       bool                     // The list of another router may be older than one that follows all changes.
 
 	checkedAt time.Time // When the list of servers was last current, before the present step.
 	steppedAt time.Time // Time of the last step.
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -14,7 +14,8 @@
 	featureGrace = 2 * time.Second
 	// unrecordedLead is by how much the time in the store up to which streams may be unrecorded is ahead when it is written.
 	unrecordedLead = peerTimeout
-	// maxListLag is how old the list of servers may be by which a router that records nothing begins a stream.
+	// maxListLag is how old the list of servers may be by which a router that records nothing begins a stream, and how long a server
+	// may serve that is not listed any more.
 	maxListLag = 10 * time.Second
 	// maxSpareExceptions is the number of streams that all routers list which need no exception otherwise.
 	maxSpareExceptions = maxExceptions / 2
@@ -155,9 +156,7 @@
 		return "", false
 	}
 	for i, mix := range h.Mixes {
-		hasBegun := i == 0 || !mix.earliest().After(to)
-		hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
-		if !hasBegun || hasEnded {
+		if !h.mayApply(i, from, to) {
 			continue
 		}
 		for version := range mix.Weights {
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -279,6 +279,13 @@
 	return mixes
 }
 
+// mayApply reports whether the mix with an index may have been in force between two times.
+func (h *VersionHistory) mayApply(i int, from, to time.Time) bool {
+	hasBegun := i == 0 || !h.Mixes[i].earliest().After(to)
+	hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
+	return hasBegun && !hasEnded
+}
+
 // VersionBetween returns the version of a stream whose time is between from and to, and whether that is
 // certain.
 func (h *VersionHistory) VersionBetween(streamID string, from, to time.Time) (version string, isCertain bool) {
@@ -295,9 +302,7 @@
 	}
 	found := false
 	for i, mix := range h.Mixes {
-		hasBegun := i == 0 || !mix.earliest().After(to)
-		hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
-		if !hasBegun || hasEnded {
+		if !h.mayApply(i, from, to) {
 			continue
 		}
 		picked := pickVersion(streamID, mix.Weights)
