dtrelay: a router that is late sends requests whose callers have left

A router that had stood still, or got processor time late, sent requests to servers although the end of the caller's connection had arrived long before.

A request and the end of its connection may wait in the same socket. The goroutine that reads the request starts the one that watches the connection, and nothing orders the watch before the sending.

The kernel is asked whether the caller has left before a request is handed to the reducer, at the start of each attempt and right before the request is written. It knows the end also behind unread bytes, and without a read. The log states it as the detail of the attempt, which tells this case from a departure during the attempt.

--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -112,6 +112,9 @@
 
 // run performs the attempt and sets its outcome.
 func (a *attempt) run() {
+	if a.hasCallerLeft() {
+		return
+	}
 	if a.isResumed && a.exchange.lastEventID == "" {
 		a.setOutcome(dtdispatch.OutcomeMalformed, errNoEventIDs)
 		return
@@ -127,6 +130,9 @@
 	}
 	a.reusable = false
 	a.openWitness()
+	if a.hasCallerLeft() {
+		return
+	}
 	if err := a.writeRequest(); err != nil {
 		a.setTransportOutcome(err)
 		return
@@ -137,13 +143,23 @@
 	a.handleResponse()
 }
 
+// hasCallerLeft reports whether the caller has disconnected before the request was sent, and sets the outcome then. The goroutine
+// that watches the connection may be late, as after the process has stood still.
+func (a *attempt) hasCallerLeft() bool {
+	if !a.exchange.hasCallerLeft() {
+		return false
+	}
+	a.setOutcome(dtdispatch.OutcomeCallerGone, errCallerClosed)
+	return true
+}
+
 // useConn sets the connection. It returns false if it has set the outcome, as the caller has disconnected.
 func (a *attempt) useConn(conn *serverConn) bool {
 	a.conn = conn
 	a.result.ConnectedAt, a.result.Via, a.result.FailedVia = conn.openedAt, conn.via, conn.failedVia
 	conn.patient.extend = a.extendDeadline
 	if !a.exchange.setConn(conn) {
-		a.setOutcome(dtdispatch.OutcomeCallerGone, nil)
+		a.setOutcome(dtdispatch.OutcomeCallerGone, errCallerClosed)
 		return false
 	}
 	return true
--- a/dottereltack/dtrelay/callerleft_test.go
+++ b/dottereltack/dtrelay/callerleft_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
 // waitingReducer has requests wait and, once their callers have left, ends them.
@@ -60,3 +61,42 @@
 	relay.Close()
 	g.Expect(q.left).To(BeEmpty())
 }
+
+// TestRequestIsSentBeforeTheEndOfItsCallerIsSeen guards against a router that has stood still, or is short of processor time, and
+// sends a request although the end of its caller's connection has arrived.
+func TestRequestIsSentBeforeTheEndOfItsCallerIsSeen(t *testing.T) {
+	g := NewWithT(t)
+	relay, err := New("127.0.0.1:0", tunnelDialect{}, &waitingReducer{})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer relay.Close()
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = server.Close() }()
+	received := make(chan int, 4)
+	go func() {
+		for c, acceptErr := server.Accept(); acceptErr == nil; c, acceptErr = server.Accept() {
+			n, _ := c.Read(make([]byte, 1<<10))
+			received <- n
+		}
+	}()
+	peer, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", relay.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	own, err := relay.listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = own.Close() }()
+	x := relay.newExchange(newCallerConn(own), &RequestHead{Method: "GET", Target: "/a", Host: "h", ReadAt: time.Now()}, nil)
+	x.ctx = t.Context() // Nothing watches the caller.
+	g.Expect(peer.Close()).To(Succeed())
+	g.Eventually(func() bool { return dtsocket.HasPeerClosed(own) }, "5s").Should(BeTrue())
+	deadline := time.Now().Add(500 * time.Millisecond)
+	result := x.runAttempt(&dtdispatch.SendRequest{
+		Number: x.number, Attempt: 1, Server: "s", Address: server.Addr().String(), Deadline: deadline, HeaderDeadline: deadline, ConnectTimeout: time.Second,
+	})
+	select {
+	case n := <-received:
+		g.Expect(n).To(BeZero(), "bytes sent to the server")
+	case <-time.After(50 * time.Millisecond):
+	}
+	g.Expect(result.Outcome).To(Equal(dtdispatch.OutcomeCallerGone))
+	g.Expect(result.Detail).To(Equal(errCallerClosed.Error()))
+}
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dottereltack/dottereltack/core/dtdispatch"
+	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
 // exchange is a caller's request and its response.
@@ -59,6 +60,10 @@
 	defer x.relay.unregisterExchange(x)
 	defer func() { x.relay.bodies.release(x.held) }()
 	x.lastEventID = x.info.LastEventID
+	if x.hasCallerLeft() { // While the request was read, or the process stood still.
+		x.closeAfterResponse = true
+		return
+	}
 	if !x.relay.events.Offer(x.arrivedEvent()) {
 		x.sendRefusal(dtdispatch.Refuse{Status: statusOverloaded, RetryAfter: overloadRetryAfter})
 		return
@@ -186,6 +191,14 @@
 	return !x.callerDisconnected
 }
 
+// hasCallerLeft reports whether the caller has disconnected. Unlike isCallerDisconnected, it asks the kernel.
+func (x *exchange) hasCallerLeft() bool {
+	if !x.isCallerDisconnected() && dtsocket.HasPeerClosed(x.caller.Conn) {
+		x.cancelAttempt()
+	}
+	return x.isCallerDisconnected()
+}
+
 func (x *exchange) isCallerDisconnected() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
