dtdispatch: a configuration that does not hold is taken

Callers of all routers were refused with 404 for what every valid version allows, until the next version.

Cause: a router put in force whatever had a higher version and could be unmarshalled: a document without routes or services, with two routes of one prefix, negative times, or a type that is none. Config.Check had those rules, and only the command line asked it. What another router passes on was not checked either, and one that can't be read was asked for again each half second.

Evidence: TestInvalidConfigurationIsTaken failed in each case before, with no configuration_rejected and "/once/x" refused.

The reducer checks each configuration, from the store and from routers, and leaves the former one in force. The line configuration_rejected and dottereltack_configurations_total say from whom it was and why; the line configuration says from whom the one in force is. A router whose configuration was rejected is asked again once it names another version.

--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -119,9 +119,11 @@
 	Message PeerMessage
 }
 
-// DecodeConfig requests that the text of a configuration be decoded; ConfigReceived follows if
-// it is valid.
-type DecodeConfig struct{ Source []byte }
+// DecodeConfig requests that the text of a configuration be decoded; ConfigReceived or ConfigUnreadable follows.
+type DecodeConfig struct {
+	Source []byte
+	From   string // Router that has sent it.
+}
 
 // ListServers requests the server list from the store, at once if Wait is zero, otherwise when
 // it changes or Wait has elapsed; ServersListed or ListServersFailed follows.
--- a/core/dtdispatch/event.go
+++ b/core/dtdispatch/event.go
@@ -183,7 +183,16 @@
 }
 
 // ConfigReceived delivers a decoded configuration.
-type ConfigReceived struct{ Config *Config }
+type ConfigReceived struct {
+	Config *Config
+	From   string // Router that has sent it; "" for the store.
+}
+
+// ConfigUnreadable reports a configuration that can't be decoded.
+type ConfigUnreadable struct {
+	From   string // As in ConfigReceived.
+	Detail string
+}
 
 // ServersListed delivers the list of backend servers from the store.
 type ServersListed struct {
@@ -310,6 +319,7 @@
 func (ResponseClosed) isEvent()            {}
 func (ServerChecked) isEvent()             {}
 func (ConfigReceived) isEvent()            {}
+func (ConfigUnreadable) isEvent()          {}
 func (ServersListed) isEvent()             {}
 func (RoutersListed) isEvent()             {}
 func (RouterRegistered) isEvent()          {}
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -55,7 +55,7 @@
 		s.handleOutOfServiceChange(now)
 	}
 	if s.configVersion() < news.ConfigVersion {
-		s.requestConfig(from, now)
+		s.requestConfig(from, news.ConfigVersion, now)
 		return
 	}
 	if news.AgeMs > 0 {
@@ -63,12 +63,14 @@
 	}
 }
 
-// requestConfig asks a peer for its configuration, unless a peer has been asked just now or the store is about to send it.
-func (s *State) requestConfig(from string, now time.Time) {
-	if now.Sub(s.Peers.ConfigRequestedAt) < syncRetryInterval || isFirstReadUnderWay(&s.OperatorKeys.Polling, s.Config != nil, now) {
+// requestConfig asks a peer for its configuration, unless that was rejected, a peer has been asked just now or the store is about to
+// send it.
+func (s *State) requestConfig(from string, version int64, now time.Time) {
+	p := &s.Peers
+	if p.RejectedConfigs[from] == version || now.Sub(p.ConfigRequest.At) < syncRetryInterval || isFirstReadUnderWay(&s.OperatorKeys.Polling, s.Config != nil, now) {
 		return
 	}
-	s.Peers.ConfigRequestedAt = now
+	p.ConfigRequest = ConfigRequest{To: from, Version: version, At: now}
 	s.emit(SendToPeers{To: from, Message: &SyncRequest{From: s.Settings.RouterName, WantsConfig: true}})
 }
 
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -101,7 +101,8 @@
 	NextStatusAt       time.Time
 	StatusSentAt       time.Time
 	ClockSentAt        time.Time               // Time of the last status that named it.
-	ConfigRequestedAt  time.Time               // Time of the last SyncRequest for the configuration.
+	ConfigRequest      ConfigRequest           // The last one.
+	RejectedConfigs    map[string]int64        // By router: version that it has named, whose configuration was rejected.
 	RosterRequestedAt  time.Time               // Time of the last SyncRequest for the server list.
 	RosterSentAt       time.Time               // Time of the last RosterReply to any peer.
 	CrashCursor        NewsCursor              // Crash reports sent.
@@ -151,7 +152,7 @@
 	case *SyncRequest:
 		s.handleSyncRequest(m, now)
 	case *ConfigReply:
-		s.emit(DecodeConfig{Source: m.Source})
+		s.emit(DecodeConfig{Source: m.Source, From: from})
 	case *RosterReply:
 		s.observeEra(m.Revision.Era(), now)
 		if !s.lacksVersions(from, m.Servers, now) {
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -59,6 +59,7 @@
 	Settings          Settings
 	StartedAt         time.Time
 	Config            *Config
+	LastRejection     ConfigRejection
 	Roster            Roster
 	OutOfService      OutOfService
 	Loads             map[ServerID]*ServerLoad
@@ -200,8 +201,8 @@
 // handlePlatformEvent applies an event that the platform adapter delivers.
 func (s *State) handlePlatformEvent(ev Event, now time.Time) {
 	switch ev := ev.(type) {
-	case ConfigReceived:
-		s.handleConfigReceived(ev.Config, now)
+	case ConfigReceived, ConfigUnreadable:
+		s.handleConfigEvent(ev, now)
 	case ServersListed:
 		s.markStoreUp()
 		s.observeEra(ev.Revision.Era(), now)
@@ -255,22 +256,6 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-// handleConfigReceived activates a configuration with a higher version than the active one.
-func (s *State) handleConfigReceived(config *Config, now time.Time) {
-	if s.Config != nil && config.Version <= s.Config.Version {
-		return
-	}
-	if s.Config != nil && s.StreamVersions.inheritTimeouts(s.Config, config) {
-		s.StreamVersions.MixWrite.markDue(now.Add(versionRecordDelay))
-	}
-	s.Config = config
-	s.emit(PublishConfig{Config: config})
-	s.emit(LogRecord{Event: "configuration", Detail: "in force", ConfigVersion: config.Version})
-	if s.Membership.IsLarge() && s.isReader(now) {
-		s.sendStatusToDomain(now)
-	}
-}
-
 // markStoreDown logs only the first of consecutive failed calls.
 func (s *State) markStoreDown(ev StoreFailed) {
 	if s.IsStoreDown {
--- a/dottereltack/dtmeter/meter.go
+++ b/dottereltack/dtmeter/meter.go
@@ -34,6 +34,11 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_unreadable_messages_total{kind=%q}`, kind)).Inc()
 }
 
+// CountConfig counts a configuration by what has become of it: "in_force", or why it was rejected.
+func (m *Meter) CountConfig(outcome string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_configurations_total{outcome=%q}`, outcome)).Inc()
+}
+
 // CountRequest counts a request by group and outcome.
 func (m *Meter) CountRequest(group, outcome string) {
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`dottereltack_requests_total{group=%q,end=%q}`, group, outcome)).Inc()
--- a/dottereltack/dtnode/node.go
+++ b/dottereltack/dtnode/node.go
@@ -232,7 +232,7 @@
 	case dtdispatch.OpenTunnel, dtdispatch.RefuseTunnel:
 		n.performTunnel(e)
 	case dtdispatch.DecodeConfig:
-		n.decodeConfig(e.Source)
+		n.decodeConfig(e)
 	case dtdispatch.Exit:
 		n.stopped <- e.Abandoned
 	}
@@ -250,13 +250,13 @@
 
 // decodeConfig parses a configuration received from a peer in the background and posts it to
 // the reducer.
-func (n *Node) decodeConfig(source []byte) {
+func (n *Node) decodeConfig(e dtdispatch.DecodeConfig) {
 	n.wg.Go(func() {
-		config, err := n.decoder.Decode(source)
+		config, err := n.decoder.Decode(e.Source)
 		if err != nil {
-			n.Log.Warn("event", "step", "decode", "error", err.Error())
+			n.Loop.Post(dtdispatch.ConfigUnreadable{From: e.From, Detail: err.Error()})
 			return
 		}
-		n.Loop.Post(dtdispatch.ConfigReceived{Config: config})
+		n.Loop.Post(dtdispatch.ConfigReceived{Config: config, From: e.From})
 	})
 }
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -76,6 +76,8 @@
 // record counts and logs a LogRecord effect.
 func (n *Node) record(e *dtdispatch.LogRecord) {
 	switch e.Event {
+	case "configuration", "configuration_rejected":
+		n.Meter.CountConfig(e.Outcome)
 	case "request":
 		n.Meter.CountRequest(e.Kind, e.Outcome)
 		n.Meter.ObserveRequestDuration(e.Kind, e.Elapsed)
@@ -98,7 +100,7 @@
 	}
 	write := n.Log.Info
 	switch e.Event {
-	case "attempt", "store_lost", "store_restored", "servers_unreachable", "server_list_ignored", "peer_message_unreadable", "peer_list_ignored", "rollout_status":
+	case "attempt", "configuration_rejected", "store_lost", "store_restored", "servers_unreachable", "server_list_ignored", "peer_message_unreadable", "peer_list_ignored", "rollout_status":
 		write = n.Log.Warn
 	default:
 		if e.Status >= 500 {
