--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -150,10 +150,16 @@
 	return mixes, isWhole
 }
 
-// isUnchanged reports whether the mix before a gap and after it is the one that is recorded for all of it.
+// isUnchanged reports whether the mix before a gap and after it is the one that is recorded for all of it, or the only one ever if
+// nothing has been recorded.
 func (h *VersionHistory) isUnchanged(recorded *VersionHistory, gap MixGap) bool {
 	hasChanged := func(mix VersionMix) bool { return mix.latest().After(gap.From) && !mix.earliest().After(gap.To) }
-	if len(recorded.Mixes) == 0 || len(h.Mixes) == 0 || slices.ContainsFunc(h.Mixes, hasChanged) || slices.ContainsFunc(recorded.Mixes[1:], hasChanged) {
+	switch {
+	case len(h.Mixes) == 0 || slices.ContainsFunc(h.Mixes, hasChanged):
+		return false
+	case len(recorded.Mixes) == 0:
+		return len(h.Mixes) == 1
+	case slices.ContainsFunc(recorded.Mixes[1:], hasChanged):
 		return false
 	}
 	return maps.Equal(h.WeightsAt(gap.To), recorded.WeightsAt(gap.To))
