dtproxy: cuts of connections by their source, in one direction or both, that hold or lose data

Cause: a proxy could blackhole sources for good, and lose the data of one direction of all connections; a router that is cut off from others in one direction, or whose data arrive after the cut, could not be played. Change: CutSource cuts by prefix of the source, by direction, and holds the data or loses them.

--- a/dottereltack-stand/dtproxy/proxy.go
+++ b/dottereltack-stand/dtproxy/proxy.go
@@ -29,13 +29,25 @@
 	mu              sync.Mutex
 	listener        net.Listener
 	mode            Mode
-	delay           time.Duration // Added before each write.
-	blockedPrefixes []string      // Prefixes of the blocked source addresses.
+	delay           time.Duration  // Added before each write.
+	blockedPrefixes []string       // Prefixes of the blocked source addresses.
+	cuts            map[string]Cut // By prefix of the source address.
+	cutsChanged     chan struct{}  // Closed and replaced when a cut begins or ends.
 	conns           map[*proxiedConn]struct{}
 	wg              sync.WaitGroup
 	closed          chan struct{}
 }
 
+// Cut states in which directions a proxy does not forward the data of connections, whose ends it hides, too.
+type Cut struct {
+	ToTarget, FromTarget bool
+	Holds                bool // The data are forwarded after the cut, as if they had been sent again; otherwise they are lost.
+}
+
+func (c Cut) includes(fromTarget bool) bool {
+	return fromTarget && c.FromTarget || !fromTarget && c.ToTarget
+}
+
 // proxiedConn is a connection from a client (downstream) through the proxy to the target
 // (upstream).
 type proxiedConn struct {
@@ -52,7 +64,7 @@
 	}
 	p := &Proxy{
 		Address: listener.Addr().String(), Target: target, listener: listener, mode: ModePass,
-		conns: map[*proxiedConn]struct{}{}, closed: make(chan struct{}),
+		cuts: map[string]Cut{}, cutsChanged: make(chan struct{}), conns: map[*proxiedConn]struct{}{}, closed: make(chan struct{}),
 	}
 	return p, nil
 }
@@ -119,6 +131,43 @@
 	}
 }
 
+// CutSource cuts off all connections, open and new, from source addresses that begin with prefix. The zero Cut ends that of the
+// same prefix; connections that have lost data by it stay blackholed in that direction.
+func (p *Proxy) CutSource(prefix string, cut Cut) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cut == (Cut{}) {
+		delete(p.cuts, prefix)
+	} else {
+		p.cuts[prefix] = cut
+	}
+	close(p.cutsChanged)
+	p.cutsChanged = make(chan struct{})
+}
+
+// awaitPassage waits until no cut holds the data of a connection, and reports whether one loses them.
+func (p *Proxy) awaitPassage(conn net.Conn, fromTarget bool) (isLost bool) {
+	for {
+		isHeld := false
+		p.mu.Lock()
+		for prefix, cut := range p.cuts {
+			if cut.includes(fromTarget) && hasPrefix(conn, []string{prefix}) {
+				isHeld, isLost = isHeld || cut.Holds, isLost || !cut.Holds
+			}
+		}
+		changed := p.cutsChanged
+		p.mu.Unlock()
+		if isLost || !isHeld {
+			return isLost
+		}
+		select {
+		case <-changed:
+		case <-p.closed:
+			return true
+		}
+	}
+}
+
 // isBlocked reports whether the source address of conn is blocked. The caller must hold p.mu.
 func (p *Proxy) isBlocked(conn net.Conn) bool {
 	return hasPrefix(conn, p.blockedPrefixes)
@@ -215,7 +264,7 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		hasGap = hasGap || c.isBlackholed() || fromTarget && mode == ModeOneWay
+		hasGap = p.awaitPassage(c.downstream, fromTarget) || hasGap || c.isBlackholed() || fromTarget && mode == ModeOneWay
 		if n > 0 && !hasGap {
 			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
 				err = writeErr
