--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build run test lint unit measure fuzz soak crowds release upgrade streams mutate tools clean
+.PHONY: build run test lint unit measure fuzz soak crowds release outofstep upgrade streams mutate tools clean
 
 build:
 	go build -o bin/ ./dottereltack ./dottereltack-stand ./dottereltack-load
@@ -53,6 +53,10 @@
 release:
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsOfARelease -known.red -release.seeds $(SOAK_SEEDS) -release.first $(or $(SOAK_FIRST),$(shell date +%s))
 
+outofstep:
+	go test -count=1 -timeout 0 ./platform/dtsoak -run TestStreamsTakenUpAtARouterOutOfStep -v -outofstep.forms all -outofstep.rounds 4 \
+		-outofstep.seeds $(SOAK_SEEDS) -outofstep.first $(or $(SOAK_FIRST),$(shell date +%s)) -outofstep.program-of "$(OUTOFSTEP_PROGRAM_OF)"
+
 upgrade:
 	go test -count=1 -timeout 0 ./platform/dtsoak -run TestTwoBuilds -v -upgrade.from $(or $(UPGRADE_FROM),$(LANDINGS)) -upgrade.plays $(or $(UPGRADE_PLAYS),all) \
 		-upgrade.seeds $(SOAK_SEEDS) -upgrade.first $(or $(SOAK_FIRST),$(shell date +%s)) -upgrade.for 40s
