dtgate, dtserver: engines work on for callers that have left

Callers of the own interface that left were not missed while their response was collected, before their stream began and while it paused, and a request that waited was sent to its engine after its caller had left.

The HTTP library does not read from a connection while it serves a request, so that the gateway saw the end only when a write failed.

The gateway asks the kernel every 100 ms, and before it sends a request, whether the caller has left. That cancels the context of the exchange, which closes the connection to the engine and ends the attempt as one whose caller has left, so that the reducer cancels it at the engine and does not retry it. Orders are not watched: they run to their end, and their callers may ask for the result. Streams that are to be kept stay at the engine, which is not told to cancel them.

--- a/dottereltack/dtgate/exchange.go
+++ b/dottereltack/dtgate/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"net"
 	"strconv"
 	"time"
 
@@ -24,7 +26,7 @@
 const maxPendingEffects = 8
 
 type serverClient interface {
-	Do(req *dtserver.Request) (*dtserver.Response, dtstate.Outcome, error)
+	Do(ctx context.Context, req *dtserver.Request) (*dtserver.Response, dtstate.Outcome, error)
 }
 
 // exchange is a caller's request and its response. Apart from the effects channel, it is used
@@ -50,6 +52,11 @@
 	sentHash          xxhash.Digest // Hash of the events sent to the caller.
 	skippedHash       xxhash.Digest // Hash of the skipped events, which must equal sentHash.
 	firstByteReceived bool
+	ctx               context.Context //nolint:containedctx // Canceled when the caller leaves or the request ends; lives as long as the exchange.
+	cancel            context.CancelFunc
+	caller            net.Conn         // Nil if its end is not noticed before a response is written.
+	isWatched         bool             // See watchCaller.
+	isLeft            bool             // The attempt has ended since the caller has left.
 	holder            *dtbudget.Holder // Of the caller's connection; nil if what it holds is not counted.
 	replyBytes        int64            // Counted there for the response.
 }
@@ -64,7 +71,7 @@
 	replayed   bool // The body is the stored response of an order.
 	orderState dtstate.OrderState
 	refusal    *dtstate.Refusal
-	abandoned  bool // The reducer ended before the request did.
+	abandoned  bool // The reducer ended before the request did, or the caller has left.
 }
 
 // failed reports whether the request ended without a response of a server.
@@ -74,6 +81,9 @@
 // attempt for each Dispatch effect of the reducer.
 func (x *exchange) nextPart() responsePart {
 	for {
+		if x.isLeft {
+			return responsePart{abandoned: true}
+		}
 		if x.response == nil {
 			if p, ended := x.awaitEffect(); ended {
 				return p
@@ -141,12 +151,16 @@
 		x.nextToken = e.Offset
 		x.skipTokens = 0
 	}
-	resp, outcome, err := x.gateway.serverClient.Do(&req)
+	if x.hasCallerLeft() {
+		x.endAttempt(dtstate.OutcomeCallerGone, 0, nil)
+		return
+	}
+	resp, outcome, err := x.gateway.serverClient.Do(x.ctx, &req)
 	if err != nil {
 		x.gateway.recordFailure("attempt_failed", string(e.Server), x.id, err)
 	}
 	if outcome != dtstate.OutcomeCompleted {
-		x.endAttempt(outcome, 0, nil)
+		x.endAttempt(x.outcomeOf(outcome), 0, nil)
 		return
 	}
 	x.response = resp
@@ -264,7 +278,7 @@
 func (x *exchange) abortAttempt(err error) {
 	x.gateway.recordFailure("answer_cut", string(x.server), x.id, err)
 	x.response.Abort()
-	x.endAttempt(dtstate.OutcomeCut, 0, nil)
+	x.endAttempt(x.outcomeOf(dtstate.OutcomeCut), 0, nil)
 }
 
 // recordFirstByte reports the time to first byte, once per request.
@@ -281,6 +295,7 @@
 // endAttempt reports the outcome of the current attempt to the reducer.
 func (x *exchange) endAttempt(outcome dtstate.Outcome, status int, body []byte) {
 	x.response = nil
+	x.isLeft = outcome == dtstate.OutcomeCallerGone
 	x.gateway.post(dtstate.AttemptEnded{
 		Request: x.id, Attempt: x.attempt, Outcome: outcome, Status: status,
 		Offset: max(x.nextToken, x.skipTokens), Answer: append([]byte(nil), body...),
--- a/dottereltack/dtgate/gateway.go
+++ b/dottereltack/dtgate/gateway.go
@@ -1,6 +1,7 @@
 package dtgate
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"sync"
@@ -195,6 +196,7 @@
 		gateway: g, id: g.newRequestID(), group: group, path: path, body: body,
 		arrivedAt: time.Now(), effects: make(chan dtstate.Effect, maxPendingEffects),
 	}
+	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.engineID = x.id
 	x.sentHash.Reset()
 	x.skippedHash.Reset()
@@ -206,6 +208,7 @@
 
 // endExchange unregisters a request that has ended and counts its outcome.
 func (g *Gateway) endExchange(x *exchange, outcome string) {
+	x.cancel()
 	g.mu.Lock()
 	delete(g.exchanges, x.id)
 	g.mu.Unlock()
--- a/dottereltack/dtgate/handlers.go
+++ b/dottereltack/dtgate/handlers.go
@@ -54,7 +54,7 @@
 func (g *Gateway) beginExchange(c fiber.Ctx) (*exchange, string, dtstate.Reason) {
 	x := g.newExchange("", "", bodyOf(c))
 	if conn, ok := c.RequestCtx().Conn().(*callerConn); ok {
-		x.holder = conn.holder
+		x.holder, x.caller = conn.holder, conn.Conn
 	}
 	if g.site.Load() == nil {
 		return x, "", dtstate.ReasonNoConfig
@@ -92,6 +92,7 @@
 		KeepStream: c.Get(headerResumable) != "",
 	}
 	x.priority = [...]string{"order", "interactive", "batch"}[ev.Class]
+	x.watchCaller()
 	g.submit(ev, x)
 	if req.Stream {
 		return g.sendStream(c, x, account)
@@ -180,12 +181,15 @@
 		_, _ = w.WriteString("\n\n")
 		if w.Flush() != nil {
 			x.cancelAttempt()
-			g.endExchange(x, "caller_gone")
+			g.endExchange(x, outcomeCallerGone)
 			return
 		}
 		p = x.nextPart()
 	}
 	outcome := "cut"
+	if x.isLeft {
+		outcome = outcomeCallerGone
+	}
 	if p.complete {
 		outcome = "completed"
 		_, _ = w.WriteString("data: " + dtapi.StreamDoneData + "\n\n")
@@ -267,6 +271,8 @@
 	if !call.Idempotent {
 		ev.Class = dtstate.ClassOrder
 		ev.Order = parseOrderKey(x.idempotencyKey, xxhash.Sum64(append([]byte(service+"/"+name+"\x00"), x.body...)))
+	} else {
+		x.watchCaller() // An order runs to its end, which its caller may ask for later.
 	}
 	g.submit(ev, x)
 	p := x.nextPart()
@@ -333,6 +339,7 @@
 	x.engineID = id
 	x.group = strings.Clone(c.Query("model"))
 	x.path = dtapi.PathChat
+	x.watchCaller()
 	g.submit(dtstate.RequestArrived{
 		Request: x.id, Account: dtstate.ClientAccount(account), Group: x.group,
 		Class: dtstate.ClassInteractive, Work: defaultMaxTokens, Deadline: g.firstByteDeadline(c, time.Now()),
--- a/dottereltack/dtgate/refusal.go
+++ b/dottereltack/dtgate/refusal.go
@@ -82,7 +82,7 @@
 // nothing since no refusal of it is recorded.
 func (g *Gateway) sendFailure(c fiber.Ctx, x *exchange, r *dtstate.Refusal) error {
 	if r == nil {
-		g.endExchange(x, "abandoned")
+		g.endExchange(x, x.outcomeWithoutResponse())
 		return c.RequestCtx().Conn().Close()
 	}
 	g.endExchange(x, "refused")
--- a/dottereltack/dtserver/client.go
+++ b/dottereltack/dtserver/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -93,15 +94,16 @@
 }
 
 // Do sends a request and reads the head of the response; the response is non-nil only if the
-// outcome is OutcomeCompleted, and its body is still unread.
-func (c *Client) Do(req *Request) (*Response, dtstate.Outcome, error) {
+// outcome is OutcomeCompleted, and its body is still unread. The connection is closed if ctx is done before the response is released.
+func (c *Client) Do(ctx context.Context, req *Request) (*Response, dtstate.Outcome, error) {
 	if time.Now().After(req.SendBefore) {
 		return nil, dtstate.OutcomeNotSent, wrapError(errSendDeadline, "send", req.Address)
 	}
-	cn, err := c.connect(req)
+	cn, err := c.connect(ctx, req)
 	if err != nil {
 		return nil, dtstate.OutcomeNotSent, wrapError(err, "dial", req.Address)
 	}
+	cn.stop = context.AfterFunc(ctx, cn.abandon)
 	if time.Now().After(req.SendBefore) {
 		_ = cn.Close()
 		return nil, dtstate.OutcomeNotSent, wrapError(errSendDeadline, "send", req.Address)
@@ -118,13 +120,13 @@
 
 // connect returns an idle connection if there is one and the request may use it, or else
 // a new one.
-func (c *Client) connect(req *Request) (*serverConn, error) {
+func (c *Client) connect(ctx context.Context, req *Request) (*serverConn, error) {
 	if !req.AtMostOnce {
 		if cn := c.pool.get(req.Address, time.Now()); cn != nil {
 			return cn, nil
 		}
 	}
-	return dial(&c.dialer, c.buffers, req.Address)
+	return dial(ctx, &c.dialer, c.buffers, req.Address)
 }
 
 func (req *Request) fillHTTPRequest(httpReq *fasthttp.Request) {
@@ -243,7 +245,7 @@
 
 // roundTrip sends a short request and returns the body of the response.
 func (c *Client) roundTrip(address, method, path string, body []byte, timeout time.Duration, newConn bool) ([]byte, error) {
-	cn, err := c.connect(&Request{Address: address, AtMostOnce: newConn})
+	cn, err := c.connect(context.Background(), &Request{Address: address, AtMostOnce: newConn})
 	if err != nil {
 		return nil, wrapError(err, "dial", address)
 	}
--- a/dottereltack/dtserver/client_test.go
+++ b/dottereltack/dtserver/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -54,7 +55,7 @@
 }
 
 func sendRequest(client *dtserver.Client, address string, atMostOnce bool) (dtstate.Outcome, error) {
-	resp, outcome, err := client.Do(&dtserver.Request{Address: address, Path: "/x", ID: "q", Body: []byte("{}"), AtMostOnce: atMostOnce, SendBefore: time.Now().Add(time.Second)})
+	resp, outcome, err := client.Do(context.Background(), &dtserver.Request{Address: address, Path: "/x", ID: "q", Body: []byte("{}"), AtMostOnce: atMostOnce, SendBefore: time.Now().Add(time.Second)})
 	if err != nil {
 		return outcome, err
 	}
@@ -105,7 +106,7 @@
 	g := NewWithT(t)
 	address, requests, _ := startServer(t, respondOK)
 	client := dtserver.New("", dtmeter.New())
-	_, outcome, err := client.Do(&dtserver.Request{Address: address, Path: "/x", AtMostOnce: true, SendBefore: time.Now().Add(-time.Second)})
+	_, outcome, err := client.Do(context.Background(), &dtserver.Request{Address: address, Path: "/x", AtMostOnce: true, SendBefore: time.Now().Add(-time.Second)})
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(outcome).To(Equal(dtstate.OutcomeNotSent))
 	g.Expect(requests.Load()).To(BeZero())
@@ -150,7 +151,7 @@
 	t.Run("a line of a stream", func(t *testing.T) {
 		g := NewWithT(t)
 		address, written := endless("HTTP/1.1 200 OK\r\n\r\n")
-		resp, _, err := client.Do(&dtserver.Request{Address: address, Path: "/x", SendBefore: time.Now().Add(time.Second)})
+		resp, _, err := client.Do(context.Background(), &dtserver.Request{Address: address, Path: "/x", SendBefore: time.Now().Add(time.Second)})
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = resp.ReadLine()
 		g.Expect(err).To(HaveOccurred())
@@ -168,7 +169,7 @@
 	t.Run("a head", func(t *testing.T) {
 		g := NewWithT(t)
 		address, written := endless("")
-		_, outcome, err := client.Do(&dtserver.Request{Address: address, Path: "/x", SendBefore: time.Now().Add(time.Second)})
+		_, outcome, err := client.Do(context.Background(), &dtserver.Request{Address: address, Path: "/x", SendBefore: time.Now().Add(time.Second)})
 		g.Expect(err).To(HaveOccurred())
 		g.Expect(outcome).To(Equal(dtstate.OutcomeCut))
 		g.Expect(<-written).To(BeNumerically("<", bound))
--- a/dottereltack/dtserver/conn.go
+++ b/dottereltack/dtserver/conn.go
@@ -28,16 +28,34 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	lastUsed time.Time
+	stop     func() bool             // Ends the wait for the context of the request; nil if there is none.
 	buffer   *dtbudget.ReceiveBuffer // Returned by Close.
 }
 
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
+	c.release()
 	err := c.Conn.Close()
 	c.buffer.Return()
 	return err
 }
 
+// release ends the wait for the context of the request, and reports whether the connection can be used on.
+func (c *serverConn) release() bool {
+	if c.stop == nil {
+		return true
+	}
+	isOpen := c.stop()
+	c.stop = nil
+	return isOpen
+}
+
+// abandon ends the request, and drops what the server has not got of it.
+func (c *serverConn) abandon() {
+	dtsocket.ResetIfUnacknowledged(c.Conn)
+	_ = c.Conn.Close()
+}
+
 // idlePool keeps idle connections by address; at-most-once requests never take one from it.
 type idlePool struct {
 	mu   sync.Mutex
@@ -68,6 +86,10 @@
 
 // put adds a connection whose last response was read completely.
 func (p *idlePool) put(address string, c *serverConn, now time.Time) {
+	if !c.release() {
+		_ = c.Close()
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -92,8 +114,8 @@
 	p.idle = nil
 }
 
-func dial(d *net.Dialer, buffers *dtbudget.ReceiveBuffers, address string) (*serverConn, error) {
-	c, buffer, err := buffers.Dial(context.Background(), *d, address)
+func dial(ctx context.Context, d *net.Dialer, buffers *dtbudget.ReceiveBuffers, address string) (*serverConn, error) {
+	c, buffer, err := buffers.Dial(ctx, *d, address)
 	if err != nil {
 		return nil, err
 	}
--- a/dottereltack/dtserver/match_test.go
+++ b/dottereltack/dtserver/match_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -58,7 +59,7 @@
 
 // call sends a request with an ID and returns the body of its response.
 func call(client *dtserver.Client, address, id string) (string, dtstate.Outcome, error) {
-	resp, outcome, err := client.Do(&dtserver.Request{Address: address, Path: "/x", ID: dtstate.RequestID(id), SendBefore: time.Now().Add(time.Second)})
+	resp, outcome, err := client.Do(context.Background(), &dtserver.Request{Address: address, Path: "/x", ID: dtstate.RequestID(id), SendBefore: time.Now().Add(time.Second)})
 	if err != nil || resp == nil {
 		return "", outcome, err
 	}
--- a/dottereltack/dtserver/receive_test.go
+++ b/dottereltack/dtserver/receive_test.go
@@ -22,14 +22,14 @@
 	client := New("127.0.0.1:0", nil, WithReceiveBuffers(buffers))
 	var sizes []int
 	for range 3 {
-		c, err := client.connect(&Request{Address: ln.Addr().String(), AtMostOnce: true})
+		c, err := client.connect(t.Context(), &Request{Address: ln.Addr().String(), AtMostOnce: true})
 		g.Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = c.Close() }()
 		sizes = append(sizes, receiveBuffer(c))
 	}
 	g.Expect(sizes).To(Equal([]int{dtintake.WideReceiveBytes, dtintake.WideReceiveBytes, dtintake.NarrowReceiveBytes}))
 	g.Expect(buffers.Used()).To(BeEquivalentTo(2*dtintake.WideReceiveBytes + dtintake.NarrowReceiveBytes))
-	c, err := client.connect(&Request{Address: ln.Addr().String(), AtMostOnce: true})
+	c, err := client.connect(t.Context(), &Request{Address: ln.Addr().String(), AtMostOnce: true})
 	g.Expect(err).NotTo(HaveOccurred())
 	_, _ = c.Close(), c.Close()
 	g.Expect(buffers.Used()).To(BeEquivalentTo(2*dtintake.WideReceiveBytes + dtintake.NarrowReceiveBytes))
--- a/dottereltack/dtsocket/socket_linux.go
+++ b/dottereltack/dtsocket/socket_linux.go
@@ -62,6 +62,9 @@
 // HasPeerClosed reports whether the peer has closed or reset the connection, also if there is unread data before that; it returns
 // false if c is not a TCP connection.
 func HasPeerClosed(c net.Conn) bool {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // As of TLS.
+		c = wrapped.NetConn()
+	}
 	raw, err := rawConn(c)
 	if raw == nil || err != nil {
 		return false
