dtdispatch: an answer from before a pause ends it

A router that had stood still could handle the requests that it held by the configuration of before the pause: a key withdrawn meanwhile was accepted.

Cause: it held them until its configuration was confirmed by an event of after the pause. Such an event may be a response of the store or a status of another router that was sent during the pause, before the change, and had waited in the buffers of the router.

Evidence: TestAnswerFromBeforeAPauseEndsIt had the request sent in both cases before. A response to a call that began before the end of the pause confirms nothing more than its start does, and the next call follows at once; a status counts as sent before the end of the pause until standstillMargin after it, as lists of servers do, and is as old as the clock of its sender shows.

TestPausedRouterGoesByOldKnowledge answered the watch that RestartWatch had ended; it ends first there now, as the feed reports.

--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -59,10 +59,20 @@
 		return
 	}
 	if news.AgeMs > 0 {
-		s.confirmOperatorKeys(now.Add(-time.Duration(news.AgeMs) * time.Millisecond))
+		s.confirmOperatorKeys(s.sentBy(from, now).Add(-time.Duration(news.AgeMs) * time.Millisecond))
 	}
 }
 
+// sentBy returns the time by which the last status of a router has been sent for sure. What was sent in a pause of this router is in its
+// buffers, and arrives within standstillMargin of its end.
+func (s *State) sentBy(from string, now time.Time) time.Time {
+	sentBy := now.Add(-s.Peers.ByName[from].LateBy)
+	if resumedAt := s.Resume.ResumedAt; now.Sub(resumedAt) <= standstillMargin {
+		return earlier(sentBy, resumedAt)
+	}
+	return sentBy
+}
+
 // requestConfig asks a peer for its configuration, unless that was rejected, a peer has been asked just now or the store is about to
 // send it.
 func (s *State) requestConfig(from string, version int64, now time.Time) {
@@ -172,7 +182,11 @@
 	if s.OperatorKeys.FirstReadAt.IsZero() {
 		s.OperatorKeys.FirstReadAt = now
 	}
-	s.confirmOperatorKeys(now)
+	confirmedAt := now
+	if p.StartedAt.Before(s.Resume.ResumedAt) {
+		confirmedAt, nextAt = p.StartedAt, now // The response may have been sent before the end of the pause.
+	}
+	s.confirmOperatorKeys(confirmedAt)
 	p.Succeed(nextAt)
 	s.readOperatorKeysIfDue(now)
 }
--- a/core/dtdispatch/pause_test.go
+++ b/core/dtdispatch/pause_test.go
@@ -30,6 +30,7 @@
 	withdrawn := testConfig(2)
 	delete(withdrawn.AccountsByKey, "k1")
 	r.now = r.now.Add(5 * time.Millisecond)
+	r.step(dtdispatch.OperatorKeysFailed{Interrupted: true})
 	r.step(dtdispatch.ConfigReceived{Config: withdrawn})
 	r.step(dtdispatch.OperatorKeysRead{})
 	r.Expect(effectsOf[dtdispatch.Refuse](r.effects)).To(BeEmpty(), "the list of servers is still to come")
@@ -82,3 +83,35 @@
 	r.sendRequest("/once/x")
 	r.onlySend()
 }
+
+// TestAnswerFromBeforeAPauseEndsIt guards against a router that handles the requests of a pause by an old configuration, since an answer that
+// was sent before a change has waited in its buffers, of the store or of another router.
+func TestAnswerFromBeforeAPauseEndsIt(t *testing.T) {
+	for name, answer := range map[string]func(r *router){
+		"of the store": func(r *router) { r.step(dtdispatch.OperatorKeysRead{Unchanged: true}) },
+		"of a router": func(r *router) {
+			r.step(dtdispatch.PeerMessageReceived{From: "r2", Message: &dtdispatch.PeerStatus{
+				From: "r2", Domain: "d0", Start: 1, OperatorNews: dtdispatch.OperatorNews{ConfigVersion: 1, AgeMs: 1},
+			}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(t, 2)
+			r.resume()
+			r.sendRequest("/once/x")
+			r.now = r.now.Add(5 * time.Millisecond)
+			r.listServers(3, testServers(2)...)
+			answer(r)
+			r.Expect(effectsOf[dtdispatch.SendRequest](r.effects)).To(BeEmpty(), "it may have been sent before the pause")
+			if name == "of a router" {
+				r.step(dtdispatch.OperatorKeysFailed{Interrupted: true})
+			}
+			r.Expect(effectsOf[dtdispatch.ReadOperatorKeys](r.effects)).To(HaveLen(1))
+			withdrawn := testConfig(2)
+			delete(withdrawn.AccountsByKey, "k1")
+			r.step(dtdispatch.ConfigReceived{Config: withdrawn})
+			r.step(dtdispatch.OperatorKeysRead{})
+			r.Expect(r.onlyRefusal().Status).To(Equal(401))
+		})
+	}
+}
