dtdispatch: a large configuration is sent again while it is under way

In a large fleet a change of a large configuration could be in force too late at all routers of a failure domain whose reader has a slow link.

Cause: all routers of a domain ask their reader for the configuration, and asked it again each half second until it had arrived. 26 copies of 190 kB take 4 s over a link of 10 Mbit/s, and the copies that were asked for again come on top. They read the store themselves only once their knowledge was as old as 0.8 of the drain timeout.

Evidence: TestLargeConfigurationIsSentAgainAndAgain, in which no copy arrives, failed before.

A router asks the same one for the same version again after 2 s only, another one after half a second as before, and reads the store itself once, if a newer version has been named and has not arrived for half a second. TestChangeIsInForceWhereTheStoreRejectsRouters found no router late with any set of routers that the store rejects, before or after.

--- a/core/dtdispatch/configchange.go
+++ b/core/dtdispatch/configchange.go
@@ -69,6 +69,7 @@
 		s.StreamVersions.MixWrite.markDue(now.Add(versionRecordDelay))
 	}
 	s.Config = config
+	s.OperatorKeys.BehindSince = time.Time{}
 	s.emit(PublishConfig{Config: config})
 	s.emit(LogRecord{Event: "configuration", Subject: sourceOf(ev.From), Outcome: "in_force", ConfigVersion: config.Version})
 	if s.Membership.IsLarge() && s.isReader(now) {
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -34,10 +34,12 @@
 	record       *dtdispatch.VersionRecord                        // Of the versions of streams; nil if there is none.
 	exceptions   map[string]map[string]dtdispatch.StreamException // Of that record, by router.
 	recordWrites int
+	configsSent  int             // By all routers.
 	isReadOnly   bool            // The store takes no writes of that record.
 	unlisted     map[string]bool // Routers whose entries in the store have lapsed.
 	isolated     map[string]bool // Routers whose messages, from and to, are lost.
 	sides        map[string]int  // Messages between routers of different sides are lost.
+	dropsConfigs bool            // Configurations that routers send each other are lost.
 	dropsRosters bool            // Lists of servers that routers send each other are lost.
 	clocks       clockOffsets
 	builds       map[string]build // Of routers that run an earlier build.
@@ -142,7 +144,9 @@
 		case dtdispatch.DecodeConfig:
 			version, err := strconv.ParseInt(string(e.Source), 10, 64)
 			f.routers[from].Expect(err).NotTo(HaveOccurred())
-			f.perform(from, f.routers[from].step(dtdispatch.ConfigReceived{Config: testConfig(version)}))
+			config := testConfig(version)
+			config.Source = e.Source
+			f.perform(from, f.routers[from].step(dtdispatch.ConfigReceived{Config: config, From: e.From}))
 		case dtdispatch.ListRouters:
 			if f.store != nil && !f.rejected[from] {
 				f.perform(from, f.routers[from].step(f.routersListed()))
@@ -254,6 +258,11 @@
 	f.routers[from].Expect(err).NotTo(HaveOccurred())
 	message := f.builds[from].sent(e.Message)
 	switch e.Message.(type) {
+	case *dtdispatch.ConfigReply:
+		f.configsSent++
+		if f.dropsConfigs {
+			return
+		}
 	case *dtdispatch.RosterReply, *dtdispatch.RosterDelta:
 		if f.dropsRosters {
 			return
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -14,6 +14,7 @@
 	readerWaitShare       = 0.25                   // Of the drain timeout, for which a reader's call waits.
 	maxOperatorAgeShare   = 0.8                    // Of the drain timeout.
 	operatorAgeMargin     = 300 * time.Millisecond // For the transit of messages.
+	configReplyTime       = 2 * time.Second        // After which a request for a configuration is repeated to the same router.
 	operatorReadSpread    = 300 * time.Millisecond // Routers that lose their reader ask the store within this time.
 	operatorSpreadSteps   = 1 << 8
 )
@@ -22,6 +23,7 @@
 type OperatorKeys struct {
 	Polling     Polling
 	FirstReadAt time.Time // Time of the first successful read.
+	BehindSince time.Time // When another router first named a newer version than that in force; zero once a newer one is.
 	ConfirmedAt time.Time // Time as of which the router's configuration and domains out of service are known to be current.
 }
 
@@ -73,11 +75,21 @@
 	return sentBy
 }
 
-// requestConfig asks a peer for its configuration, unless that was rejected, a peer has been asked just now or the store is about to
-// send it.
+// requestConfig asks a peer for its configuration, unless that was rejected or is under way, a peer has been asked just now or the
+// store is about to send it.
 func (s *State) requestConfig(from string, version int64, now time.Time) {
 	p := &s.Peers
-	if p.RejectedConfigs[from] == version || now.Sub(p.ConfigRequest.At) < syncRetryInterval || isFirstReadUnderWay(&s.OperatorKeys.Polling, s.Config != nil, now) {
+	if p.RejectedConfigs[from] == version {
+		return
+	}
+	if s.OperatorKeys.BehindSince.IsZero() {
+		s.OperatorKeys.BehindSince = now
+	}
+	wait := syncRetryInterval
+	if p.ConfigRequest.To == from && p.ConfigRequest.Version == version {
+		wait = configReplyTime
+	}
+	if now.Sub(p.ConfigRequest.At) < wait || isFirstReadUnderWay(&s.OperatorKeys.Polling, s.Config != nil, now) {
 		return
 	}
 	p.ConfigRequest = ConfigRequest{To: from, Version: version, At: now}
@@ -122,11 +134,22 @@
 		due = later(due, s.OperatorKeys.FirstReadAt.Add(operatorStartupDelay))
 	}
 	if s.followsReader(now) {
-		due = later(due, s.OperatorKeys.ConfirmedAt.Add(s.maxOperatorAge()+s.operatorReadOffset()))
+		due = later(due, s.nextFollowerReadAt())
 	}
 	return later(due, retryAt)
 }
 
+// nextFollowerReadAt returns when a follower asks the store itself: when its knowledge is too old, or once after a newer version is
+// known and has not arrived, as from a reader that sends many copies over a slow link.
+func (s *State) nextFollowerReadAt() time.Time {
+	k := &s.OperatorKeys
+	readAt := k.ConfirmedAt.Add(s.maxOperatorAge() + s.operatorReadOffset())
+	if k.BehindSince.IsZero() || k.Polling.StartedAt.After(k.BehindSince) {
+		return readAt
+	}
+	return earlier(readAt, k.BehindSince.Add(syncRetryInterval+s.operatorReadOffset()))
+}
+
 // maxOperatorAge returns the age of a follower's knowledge at which it asks the store itself. Until
 // then another router can take over from a reader that has failed.
 func (s *State) maxOperatorAge() time.Duration {
