--- a/core/dtdispatch/config.go
+++ b/core/dtdispatch/config.go
@@ -13,8 +13,7 @@
 	Services      map[string]Service
 	AccountsByKey map[string]Account // Client accounts by API key; nil if API keys are not used.
 	Limits        Limits
-	Errors        []*ConfigError // That the decoder has found.
-	Source        []byte         // The text the configuration was decoded from, for forwarding to peers.
+	Source        []byte // The text the configuration was decoded from, for forwarding to peers.
 }
 
 // NewConfig returns a configuration that matches the longest route prefix first.
--- a/core/dtdispatch/configcheck.go
+++ b/core/dtdispatch/configcheck.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 )
@@ -25,7 +24,7 @@
 
 // Check returns the errors of the configuration, ordered by host.
 func (c *Config) Check() []*ConfigError {
-	errs := slices.Clone(c.Errors)
+	var errs []*ConfigError
 	if c.Version <= 0 {
 		errs = append(errs, &ConfigError{Field: "version", Value: strconv.FormatInt(c.Version, 10), Reason: "is not positive"})
 	}
