dtdispatch: the loop spins in a fleet that is not large any more

All 81 routers stood still for 1.1 to 3.5 s.

Cause: the timer included the time of the next collection of loads also in a fleet that is not large, where nothing collects and so nothing moves that time on. When the entries of routers lapse during an outage of the store, the first list of routers after it is short, the fleet counts as small, and the timer is due at once, again and again, until the entries are back. A roll-out sets the same time in every fleet, so that small ones spun after each stage of one.

Before: TestTimerOfAFleetWhoseEntriesHaveLapsed failed with a timer 59.95 s in the past. The harness now checks the timer after each TimerFired; with that, ten more tests failed, nine of them of roll-outs. After: all eleven pass.

The timer leaves the collection out where there is none.

--- a/core/dtdispatch/collect.go
+++ b/core/dtdispatch/collect.go
@@ -124,6 +124,14 @@
 	return min(max(time.Duration(len(s.Membership.ListedRouters))*collectIntervalPerRouter, minCollectInterval), maxCollectInterval)
 }
 
+// nextCollectionAt returns when loads are to be collected next, or the zero time in a fleet that is not large.
+func (s *State) nextCollectionAt() time.Time {
+	if !s.Membership.IsLarge() {
+		return time.Time{}
+	}
+	return s.FleetLoad.NextAt
+}
+
 // collectLoadsIfDue sends this router's loads to the collector or, at the collector, sends the
 // sums to the other domains and the totals to its own.
 func (s *State) collectLoadsIfDue(now time.Time) {
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -63,6 +63,11 @@
 // step applies an event and stores a copy of its effects, which Step reuses, in r.effects.
 func (r *router) step(ev dtdispatch.Event) []dtdispatch.Effect {
 	r.effects = append([]dtdispatch.Effect(nil), r.state.Step(ev, r.now)...)
+	if _, isTimer := ev.(dtdispatch.TimerFired); isTimer {
+		for _, timer := range effectsOf[dtdispatch.SetTimer](r.effects) {
+			r.Expect(timer.At).To(BeTemporally(">", r.now), "a timer in the past would make the loop spin")
+		}
+	}
 	return r.effects
 }
 
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -308,7 +308,7 @@
 // updateTimer requests a timer for the next task if its time has changed.
 func (s *State) updateTimer(now time.Time) {
 	next := s.Peers.NextStatusTime()
-	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.nextStartupEnd(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.FleetLoad.NextAt, s.Membership.NextListAt, s.ServerNews.nextAt(), s.nextHoldEnd(now), s.nextReachCheckAt(), s.nextSuspectCheckAt(), s.nextRoomWaitAt(now), s.nextTurnAt(now), s.nextRolloutAt(now)} {
+	for _, at := range [...]time.Time{s.Shutdown.NextStepTime(), s.nextServerListAt(now), s.nextOperatorReadAt(now), s.nextResumeTime(), s.nextStartupEnd(), s.OutOfService.NextEnd(), s.nextVersionRecordAt(now), s.StreamVersions.nextRecordReadAt(), s.nextCollectionAt(), s.Membership.NextListAt, s.ServerNews.nextAt(), s.nextHoldEnd(now), s.nextReachCheckAt(), s.nextSuspectCheckAt(), s.nextRoomWaitAt(now), s.nextTurnAt(now), s.nextRolloutAt(now)} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
