dtdispatch: routers that were cut off together do not know each other's list to be current

What callers saw: streams that a router began while it was cut off went on at another version, at a router that had been cut off together with it and was back. Cause: a status with the receiver's own list counted as current when it was sent, also while the receiver's list was old; the change, which the receiver read in the record later, then lay before the time as of which the other's list was taken for current. Why it works: an equal list is as current as the own one, unless that is no older than one that follows all changes or all routers say that they share it. That delay is allowed for.

--- a/core/dtdispatch/latelist.go
+++ b/core/dtdispatch/latelist.go
@@ -17,11 +17,20 @@
 	To   time.Time // It was so again.
 }
 
-// observeList notes as of when the sender of a status had the list of servers that was in use here.
+// observeList notes as of when the sender of a status had the list of servers that was in use here. While the list of this router is
+// old, one that equals it may be as old.
 func (s *State) observeList(peer, previous *Peer, status *PeerStatus, now time.Time) {
-	current := now.Add(-peer.LateBy)
-	if status.RosterHash != s.Roster.Hash && status.RosterHash != 0 {
-		current = current.Add(-time.Duration(status.RosterAgeMs) * time.Millisecond)
+	sentAt := now.Add(-peer.LateBy)
+	current := sentAt.Add(-time.Duration(status.RosterAgeMs) * time.Millisecond)
+	switch status.RosterHash {
+	case 0: // It has no list, and begins nothing.
+		current = sentAt
+	case s.Roster.Hash:
+		confirmedAt := sentAt
+		if now.Sub(s.listConfirmedAt()) > s.maxFollowedAge() {
+			confirmedAt = later(s.listConfirmedAt(), s.sharedAsOf(now))
+		}
+		current = later(current, earlier(sentAt, confirmedAt))
 	}
 	peer.ListCurrentAt = later(current, previous.ListCurrentAt)
 	if !previous.ListCurrentAt.IsZero() && peer.ListCurrentAt.Sub(previous.ListCurrentAt) > s.maxFollowedAge() {
@@ -62,10 +71,11 @@
 // mayBeOfLateList reports whether a stream may have begun at another version than the given one, at a router with an older list: that
 // version had servers not long before.
 func (s *State) mayBeOfLateList(history *VersionHistory, streamID, version string, from, to time.Time) bool {
-	asOf := s.listsCurrentAsOf(from, to).Add(-mixSkew)
-	if !asOf.Before(from.Add(-s.maxFollowedAge())) {
+	asOf := s.listsCurrentAsOf(from, to)
+	if !asOf.Before(from.Add(-s.maxFollowedAge() - mixSkew)) {
 		return false
 	}
+	asOf = asOf.Add(-s.maxFollowedAge() - mixSkew) // This router may have followed the list with as much delay.
 	return history.hasGapBetween(asOf, from) || history.mayPickOther(streamID, version, asOf, from, to)
 }
 
--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -40,3 +40,24 @@
 		})
 	}
 }
+
+// TestRouterCutOffWithAnotherCountsAsCurrent guards against streams that go on at another version than that at which a router has begun
+// them that is still cut off, at one that was cut off together with it and is back: while their lists were the same, both were old.
+func TestRouterCutOffWithAnotherCountsAsCurrent(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.begin(1)
+	f.takeUpAt(names...) // They have read the record before.
+	f.begun = nil
+	f.rejected, f.sides = map[string]bool{"r1": true, "r3": true}, map[string]int{"r2": 1}
+	f.run(time.Second, names...)
+	f.setVersions("v1", "v2", "v2", "v2")
+	f.run(5*time.Second, names...)
+	f.rejected, f.sides = map[string]bool{"r3": true}, map[string]int{"r3": 1}
+	f.run(4*time.Second, names...)
+	f.names = []string{"r3"}
+	f.begin(20)
+	f.run(300*time.Millisecond, names...)
+	f.takeUpAt("r1") // It fails if one goes on at another version.
+	f.run(2*time.Second, names...)
+}
