dtdispatch: a router that has just started knows nothing of the list of one that is cut off

What callers saw: streams that a router began while it was cut off went on at another version, at a router that had started meanwhile. Cause: only routers that had been heard of counted, as if one that is listed but was never heard of were in step. Evidence: TestRouterStartedBesideOneThatIsCutOffMixes, 'stream-1 at r1' at v2 instead of v1 before (a play of it on, too), passes now. Why it works: such a router's list may be of any age, so that only mixes that agree with all others since count; the streams that this makes uncertain are listed, as beside one whose list is late.

--- a/core/dtdispatch/latelist.go
+++ b/core/dtdispatch/latelist.go
@@ -1,6 +1,7 @@
 package dtdispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -56,16 +57,21 @@
 		}
 	}
 	for name := range s.Membership.LastSeen {
-		if peer := s.Peers.ByName[name]; s.hearsFrom(name, &peer) {
-			asOf = earlier(asOf, peer.ListCurrentAt)
+		if s.hearsFrom(name) {
+			asOf = earlier(asOf, s.Peers.ByName[name].ListCurrentAt)
 		}
 	}
 	return asOf
 }
 
-// hearsFrom reports whether this router gets the statuses of another one unless one of them is cut off.
-func (s *State) hearsFrom(name string, peer *Peer) bool {
-	return !peer.ListCurrentAt.IsZero() && (!s.Membership.IsLarge() || s.linksTo(Router{Name: name, Domain: peer.Domain}))
+// hearsFrom reports whether this router gets the statuses of another one unless one of them is cut off, as it may have been since
+// before this router started.
+func (s *State) hearsFrom(name string) bool {
+	if name == s.Settings.RouterName {
+		return false
+	}
+	domain := cmp.Or(s.Peers.ByName[name].Domain, s.Membership.ListedRouters[name].Domain)
+	return !s.Membership.IsLarge() || s.linksTo(Router{Name: name, Domain: domain})
 }
 
 // mayBeOfLateList reports whether a stream may have begun at another version than the given one, at a router with an older list: that
@@ -114,18 +120,19 @@
 	oldest, name := s.oldestList(now)
 	isLate := now.Sub(oldest) > s.maxFollowedAge()
 	if isLate && !v.IsListLate {
-		s.emit(LogRecord{Event: "list_late", Subject: name, Elapsed: now.Sub(oldest)})
+		s.emit(LogRecord{Event: "list_late", Subject: name, Elapsed: sinceUnlessZero(oldest, now)})
 		s.listStreamsUnderWay(now)
 	}
 	v.IsListLate = isLate
 }
 
-// oldestList returns the time as of which the list of a router was current for which that is longest ago.
+// oldestList returns the time as of which the list of a router was current for which that is longest ago, the zero time for one that has
+// not been heard of.
 func (s *State) oldestList(now time.Time) (at time.Time, name string) {
 	at = now
 	for other := range s.Membership.LastSeen {
 		peer := s.Peers.ByName[other]
-		if !s.hearsFrom(other, &peer) || peer.ListCurrentAt.After(at) || peer.ListCurrentAt.Equal(at) && other > name {
+		if !s.hearsFrom(other) || peer.ListCurrentAt.After(at) || peer.ListCurrentAt.Equal(at) && other > name {
 			continue
 		}
 		at, name = peer.ListCurrentAt, other
--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -61,3 +61,20 @@
 	f.takeUpAt("r1") // It fails if one goes on at another version.
 	f.run(2*time.Second, names...)
 }
+
+// TestRouterStartedBesideOneThatIsCutOffMixes guards against streams that go on at another version than that at which a router has begun
+// them that is cut off, at one that has started since and has never heard of it.
+func TestRouterStartedBesideOneThatIsCutOffMixes(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+	f.run(time.Second, names...)
+	f.setVersions("v1", "v2", "v2", "v2")
+	f.run(4*time.Second, names...)
+	f.names = []string{"r3"}
+	f.begin(20)
+	f.run(300*time.Millisecond, names...)
+	f.names = names
+	f.restart(t, "r1")
+	f.takeUpAt("r1") // It fails if one goes on at another version.
+}
