dtdispatch: gaps of the histories of versions pile up while no version changes

What callers saw: nothing yet; the memory of a router, the work of each lookup and the record in the store grow with each time in which it has stood still or was cut off. Cause: adds a gap for each of these, and old ones were forgotten only with a change of the mix. Why it works: what has become too old is forgotten where a gap is added.

--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -115,3 +115,18 @@
 		})
 	}
 }
+
+// TestGapsOfALongLifeAreKept guards against memory, and a record, that grow with each time in which a router has not followed the list.
+func TestGapsOfALongLifeAreKept(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	for range 400 {
+		f.down["r3"] = true
+		f.run(time.Second, "r1", "r2")
+		f.down["r3"] = false
+		f.routers["r3"].now = f.routers["r1"].now
+		f.run(2*time.Second, names...)
+	}
+	r := f.routers["r3"]
+	f.Expect(r.state.StreamVersions.ByService["a"].Gaps).To(HaveEach(HaveField("To", BeTemporally(">", r.now.Add(-11*time.Minute)))))
+}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -114,6 +114,7 @@
 		return false
 	}
 	h.Gaps = append(h.Gaps, MixGap{From: from, To: to})
+	h.trim(to)
 	return true
 }
 
