dtdispatch: a read of the record that began before the end of a gap fills it

What callers saw: a stream that began at a new version went on at the old one, at a router that had been out of step while that version came and went, and had a read of the record under way since before. Cause: closes a gap by a record that shows no change in it, also by one read before the gap was over, which can't show what came later. Why it works: only a read that began at the end of a gap fills it, or so shortly before that streams of a later change are listed by their ID; the next request reads again.

--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
 // TestRoutersCutOffTogetherConfirmAnOldList guards against streams that go on at another version where most routers have lost the store and
@@ -130,3 +132,36 @@
 	r := f.routers["r3"]
 	f.Expect(r.state.StreamVersions.ByService["a"].Gaps).To(HaveEach(HaveField("To", BeTemporally(">", r.now.Add(-11*time.Minute)))))
 }
+
+// TestRecordReadBeforeTheEndOfAGapFillsIt guards against streams that go on at another version since a read of the record that began before
+// the versions changed ended after the list was followed again: it was taken for all that has happened meanwhile.
+func TestRecordReadBeforeTheEndOfAGapFillsIt(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v1")
+	read := func(mixes ...dtdispatch.VersionMix) {
+		mixes = append([]dtdispatch.VersionMix{{At: time.UnixMilli(1), Weights: map[string]int{"v1": 1}}}, mixes...)
+		r.step(dtdispatch.VersionRecordRead{Record: dtdispatch.VersionRecord{
+			Clock: dtdispatch.RecordClock{Writer: "r1"}, Histories: map[string]dtdispatch.VersionHistory{"a": {Mixes: mixes}},
+		}})
+	}
+	r.sendRequest("/stream/x", resuming("first"))
+	read()
+	r.advance(50 * time.Millisecond)
+	r.sendRequest("/stream/x", resuming("second"))
+	r.Expect(effectsOf[dtdispatch.ReadVersionRecord](r.effects)).To(HaveLen(1))
+	lostAt := r.now
+	r.advance(9 * time.Second)
+	for range 10 {
+		r.step(dtdispatch.ServersListed{Servers: serversOfVersions("v1", "v1"), Revision: 4})
+		r.advance(100 * time.Millisecond)
+	}
+	read()
+	r.step(dtdispatch.ServersListed{Servers: serversOfVersions("v1", "v1"), Revision: 4, Unchanged: true})
+	r.sendRequest("/stream/x", resuming("third"), func(ev *dtdispatch.RequestArrived) {
+		ev.CallerTimeout = callerTimeout - r.now.Sub(lostAt.Add(5500*time.Millisecond))
+	})
+	read(
+		dtdispatch.VersionMix{At: lostAt.Add(time.Second), Weights: map[string]int{"v2": 1}},
+		dtdispatch.VersionMix{At: lostAt.Add(8500 * time.Millisecond), Weights: map[string]int{"v1": 1}},
+	)
+	r.onlyRefusal()
+}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -119,10 +119,11 @@
 }
 
 // fillGaps adds the mixes of the gaps from a history that another router has recorded, which knows them if it has
-// the mix as of their end, or if neither has changed. What has begun under a mix that is not recorded is listed by its ID.
-func (h *VersionHistory) fillGaps(recorded *VersionHistory) {
+// the mix as of their end, or if neither has changed. What has begun under a mix that is not recorded is listed by its ID, as is what
+// begins within recordedSkew of a change: a read that began earlier than that before the end of a gap says nothing of the rest of it.
+func (h *VersionHistory) fillGaps(recorded *VersionHistory, readAt time.Time) {
 	h.Gaps = slices.DeleteFunc(h.Gaps, func(gap MixGap) bool {
-		if recorded.KnownSince.After(gap.From) || recorded.hasGapBetween(gap.From, gap.To) {
+		if gap.To.After(readAt.Add(recordedSkew)) || recorded.KnownSince.After(gap.From) || recorded.hasGapBetween(gap.From, gap.To) {
 			return false
 		}
 		mixes, isWhole := recorded.mixesOf(gap, h.WeightsAt(gap.To))
--- a/core/dtdispatch/versionrecord.go
+++ b/core/dtdispatch/versionrecord.go
@@ -178,7 +178,7 @@
 	v.MixWrite.DueAt = time.Time{}
 	for service, history := range v.ByService {
 		old := recorded[service]
-		history.fillGaps(&old)
+		history.fillGaps(&old, v.LoadedAt)
 		if isNew := history.Merge(&old, now); isNew && len(history.Mixes) > 0 {
 			v.MixWrite.markDue(now)
 		}
@@ -206,7 +206,7 @@
 	v.Ahead = map[string]time.Time{}
 	for service, history := range v.ByService {
 		old := recorded[service]
-		history.fillGaps(&old)
+		history.fillGaps(&old, v.LoadedAt)
 		if at := history.aheadSince(&old); !at.IsZero() {
 			v.Ahead[service] = at
 		}
