--- a/core/dtdispatch/latelist.go
+++ b/core/dtdispatch/latelist.go
@@ -1,6 +1,7 @@
 package dtdispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -17,11 +18,20 @@
 	To   time.Time // It was so again.
 }
 
-// observeList notes as of when the sender of a status had the list of servers that was in use here.
+// observeList notes as of when the sender of a status had the list of servers that was in use here. While the list of this router is
+// old, one that equals it may be as old.
 func (s *State) observeList(peer, previous *Peer, status *PeerStatus, now time.Time) {
-	current := now.Add(-peer.LateBy)
-	if status.RosterHash != s.Roster.Hash && status.RosterHash != 0 {
-		current = current.Add(-time.Duration(status.RosterAgeMs) * time.Millisecond)
+	sentAt := now.Add(-peer.LateBy)
+	current := sentAt.Add(-time.Duration(status.RosterAgeMs) * time.Millisecond)
+	switch status.RosterHash {
+	case 0: // It has no list, and begins nothing.
+		current = sentAt
+	case s.Roster.Hash:
+		confirmedAt := sentAt
+		if now.Sub(s.listConfirmedAt()) > s.maxFollowedAge() {
+			confirmedAt = later(s.listConfirmedAt(), s.sharedAsOf(now))
+		}
+		current = later(current, earlier(sentAt, confirmedAt))
 	}
 	peer.ListCurrentAt = later(current, previous.ListCurrentAt)
 	if !previous.ListCurrentAt.IsZero() && peer.ListCurrentAt.Sub(previous.ListCurrentAt) > s.maxFollowedAge() {
@@ -47,25 +57,31 @@
 		}
 	}
 	for name := range s.Membership.LastSeen {
-		if peer := s.Peers.ByName[name]; s.hearsFrom(name, &peer) {
-			asOf = earlier(asOf, peer.ListCurrentAt)
+		if s.hearsFrom(name) {
+			asOf = earlier(asOf, s.Peers.ByName[name].ListCurrentAt)
 		}
 	}
 	return asOf
 }
 
-// hearsFrom reports whether this router gets the statuses of another one unless one of them is cut off.
-func (s *State) hearsFrom(name string, peer *Peer) bool {
-	return !peer.ListCurrentAt.IsZero() && (!s.Membership.IsLarge() || s.linksTo(Router{Name: name, Domain: peer.Domain}))
+// hearsFrom reports whether this router gets the statuses of another one unless one of them is cut off, as it may have been since
+// before this router started.
+func (s *State) hearsFrom(name string) bool {
+	if name == s.Settings.RouterName {
+		return false
+	}
+	domain := cmp.Or(s.Peers.ByName[name].Domain, s.Membership.ListedRouters[name].Domain)
+	return !s.Membership.IsLarge() || s.linksTo(Router{Name: name, Domain: domain})
 }
 
 // mayBeOfLateList reports whether a stream may have begun at another version than the given one, at a router with an older list: that
 // version had servers not long before.
 func (s *State) mayBeOfLateList(history *VersionHistory, streamID, version string, from, to time.Time) bool {
-	asOf := s.listsCurrentAsOf(from, to).Add(-mixSkew)
-	if !asOf.Before(from.Add(-s.maxFollowedAge())) {
+	asOf := s.listsCurrentAsOf(from, to)
+	if !asOf.Before(from.Add(-s.maxFollowedAge() - mixSkew)) {
 		return false
 	}
+	asOf = asOf.Add(-s.maxFollowedAge() - mixSkew) // This router may have followed the list with as much delay.
 	return history.hasGapBetween(asOf, from) || history.mayPickOther(streamID, version, asOf, from, to)
 }
 
@@ -104,18 +120,19 @@
 	oldest, name := s.oldestList(now)
 	isLate := now.Sub(oldest) > s.maxFollowedAge()
 	if isLate && !v.IsListLate {
-		s.emit(LogRecord{Event: "list_late", Subject: name, Elapsed: now.Sub(oldest)})
+		s.emit(LogRecord{Event: "list_late", Subject: name, Elapsed: sinceUnlessZero(oldest, now)})
 		s.listStreamsUnderWay(now)
 	}
 	v.IsListLate = isLate
 }
 
-// oldestList returns the time as of which the list of a router was current for which that is longest ago.
+// oldestList returns the time as of which the list of a router was current for which that is longest ago, the zero time for one that has
+// not been heard of.
 func (s *State) oldestList(now time.Time) (at time.Time, name string) {
 	at = now
 	for other := range s.Membership.LastSeen {
 		peer := s.Peers.ByName[other]
-		if !s.hearsFrom(other, &peer) || peer.ListCurrentAt.After(at) || peer.ListCurrentAt.Equal(at) && other > name {
+		if !s.hearsFrom(other) || peer.ListCurrentAt.After(at) || peer.ListCurrentAt.Equal(at) && other > name {
 			continue
 		}
 		at, name = peer.ListCurrentAt, other
