dtdispatch: a router that has just started is told of those whose lists are late

What callers saw: streams that began at v1, at a router that was cut off, went on at v2 at a router that had started since. Cause: how long ago the list of another router was current was not known at one that has not heard it since its own start, and when it was heard at last, the time before was forgotten. Why it works: statuses of a small fleet say how long ago the lists of others were current that are late; the time until such a router is heard is remembered as one with a late list, of any age if nobody has told.

--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -40,6 +40,8 @@
 	isolated     map[string]bool // Routers whose messages, from and to, are lost.
 	sides        map[string]int  // Messages between routers of different sides are lost.
 	dropsConfigs bool            // Configurations that routers send each other are lost.
+	deaf         map[string]bool // Routers to which messages are lost.
+	mute         map[string]bool // Routers whose messages are lost.
 	dropsRosters bool            // Lists of servers that routers send each other are lost.
 	clocks       clockOffsets
 	builds       map[string]build // Of routers that run an earlier build.
@@ -274,12 +276,17 @@
 		if f.builds[from] == noVersions && message == nil || f.builds[name] == noVersions && noVersions.sent(message) == nil {
 			continue
 		}
-		if !f.down[name] && !f.isolated[name] && !f.isolated[from] && f.sides[name] == f.sides[from] {
+		if !f.down[name] && f.isReached(from, name) {
 			f.perform(name, f.routers[name].step(dtdispatch.PeerMessageReceived{Message: f.clocks.sent(message, from, name)}))
 		}
 	}
 }
 
+// isReached reports whether messages of a router reach another one.
+func (f *fleet) isReached(from, to string) bool {
+	return !f.isolated[to] && !f.isolated[from] && !f.deaf[to] && !f.mute[from] && f.sides[to] == f.sides[from]
+}
+
 // targets returns the routers that a message to one router, or to all if that is "", is sent to.
 func (f *fleet) targets(from, to string) []string {
 	if to == "" {
@@ -300,6 +307,14 @@
 
 // newLargeFleet returns n routers in three failure domains, after their links have been set up.
 func newLargeFleet(t *testing.T, n int) (*fleet, []string) {
+	t.Helper()
+	f, names := newFleetOfDomains(t, n)
+	f.run(6*time.Second, names...)
+	return f, names
+}
+
+// newFleetOfDomains returns n routers in three failure domains that have just started.
+func newFleetOfDomains(t *testing.T, n int) (*fleet, []string) {
 	t.Helper()
 	f := newFleet(t)
 	var names []string
@@ -309,6 +324,5 @@
 		f.routers[name] = newRouterInDomain(t, name, fmt.Sprintf("d%d", i%3))
 		f.routers[name].step(dtdispatch.ConfigReceived{Config: testConfig(1)})
 	}
-	f.run(6*time.Second, names...)
 	return f, names
 }
--- a/core/dtdispatch/latelist.go
+++ b/core/dtdispatch/latelist.go
@@ -14,7 +14,7 @@
 
 // ListLag is a time in which a router may have begun streams by a list that others had no more.
 type ListLag struct {
-	From time.Time // Its list was last known to be current.
+	From time.Time // Its list was last known to be current; zero if this router had not heard of it before.
 	To   time.Time // It was so again.
 }
 
@@ -34,9 +34,58 @@
 		current = later(current, earlier(sentAt, confirmedAt))
 	}
 	peer.ListCurrentAt = later(current, previous.ListCurrentAt)
-	if !previous.ListCurrentAt.IsZero() && peer.ListCurrentAt.Sub(previous.ListCurrentAt) > s.maxFollowedAge() {
-		s.StreamVersions.addListLag(ListLag{From: previous.ListCurrentAt, To: peer.ListCurrentAt}, now)
+	since, heardAt := previous.ListCurrentAt, previous.ListCurrentAt
+	if since.IsZero() {
+		since, heardAt = s.unheardSince(status.From)
 	}
+	if !heardAt.IsZero() && peer.ListCurrentAt.Sub(heardAt) > s.maxFollowedAge() {
+		s.StreamVersions.addListLag(ListLag{From: since, To: peer.ListCurrentAt}, now)
+	}
+	delete(s.StreamVersions.ToldLists, status.From)
+	s.observeLateLists(status.LateLists, peer, now)
+}
+
+// unheardSince returns as of when the list of a router may have been late that this one has not heard from since it started, the zero
+// time if nobody has told, and when it might have been heard from at the earliest, the zero time if it was not listed.
+func (s *State) unheardSince(name string) (since, heardAt time.Time) {
+	if told, isTold := s.StreamVersions.ToldLists[name]; isTold {
+		return told, told
+	}
+	if _, isListed := s.Membership.LastSeen[name]; isListed {
+		return time.Time{}, s.StreamVersions.ListedSince
+	}
+	return time.Time{}, time.Time{}
+}
+
+// observeLateLists notes what a router tells of others that this one has not heard from since it started.
+func (s *State) observeLateLists(ages map[string]int64, teller *Peer, now time.Time) {
+	v := &s.StreamVersions
+	for name, ms := range ages {
+		if _, isListed := s.Membership.LastSeen[name]; !isListed || name == s.Settings.RouterName || !s.Peers.ByName[name].ListCurrentAt.IsZero() {
+			continue
+		}
+		age := min(time.Duration(max(ms, 0))*time.Millisecond, maxStreamAge)
+		if v.ToldLists == nil {
+			v.ToldLists = map[string]time.Time{}
+		}
+		v.ToldLists[name] = later(v.ToldLists[name], now.Add(-age-teller.LateBy))
+	}
+}
+
+// lateLists returns how many milliseconds ago the lists of other routers were last known to be current for which that is long.
+func (s *State) lateLists(now time.Time) map[string]int64 {
+	var ages map[string]int64
+	for name := range s.Membership.LastSeen {
+		at := s.listCurrentAt(name)
+		if !s.hearsFrom(name) || at.IsZero() || now.Sub(at) <= s.maxFollowedAge() {
+			continue
+		}
+		if ages == nil {
+			ages = map[string]int64{}
+		}
+		ages[name] = now.Sub(at).Milliseconds()
+	}
+	return ages
 }
 
 func (v *StreamVersions) addListLag(lag ListLag, now time.Time) {
@@ -58,12 +107,38 @@
 	}
 	for name := range s.Membership.LastSeen {
 		if s.hearsFrom(name) {
-			asOf = earlier(asOf, s.Peers.ByName[name].ListCurrentAt)
+			asOf = earlier(asOf, s.listCurrentAt(name))
 		}
 	}
 	return asOf
 }
 
+// listCurrentAt returns the time as of which the list of a router was last current, or the zero time.
+func (s *State) listCurrentAt(name string) time.Time {
+	if at := s.Peers.ByName[name].ListCurrentAt; !at.IsZero() {
+		return at
+	}
+	since, _ := s.unheardSince(name)
+	return since
+}
+
+// shiftLists moves by d what this router knows of the ages of lists.
+func (s *State) shiftLists(d time.Duration) {
+	v := &s.StreamVersions
+	for i, lag := range v.ListLags {
+		v.ListLags[i] = ListLag{From: lag.From.Add(d), To: lag.To.Add(d)}
+	}
+	for name, at := range v.ToldLists {
+		v.ToldLists[name] = at.Add(d)
+	}
+	for name, peer := range s.Peers.ByName {
+		if !peer.ListCurrentAt.IsZero() {
+			peer.ListCurrentAt = peer.ListCurrentAt.Add(d)
+			s.Peers.ByName[name] = peer
+		}
+	}
+}
+
 // hearsFrom reports whether this router gets the statuses of another one unless one of them is cut off, as it may have been since
 // before this router started.
 func (s *State) hearsFrom(name string) bool {
@@ -131,11 +206,11 @@
 func (s *State) oldestList(now time.Time) (at time.Time, name string) {
 	at = now
 	for other := range s.Membership.LastSeen {
-		peer := s.Peers.ByName[other]
-		if !s.hearsFrom(other) || peer.ListCurrentAt.After(at) || peer.ListCurrentAt.Equal(at) && other > name {
+		current := s.listCurrentAt(other)
+		if !s.hearsFrom(other) || current.After(at) || current.Equal(at) && other > name {
 			continue
 		}
-		at, name = peer.ListCurrentAt, other
+		at, name = current, other
 	}
 	return at, name
 }
--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -114,15 +114,7 @@
 	for _, history := range v.ByService {
 		history.shift(-ev.Uncounted)
 	}
-	for i, lag := range v.ListLags {
-		v.ListLags[i] = ListLag{From: lag.From.Add(-ev.Uncounted), To: lag.To.Add(-ev.Uncounted)}
-	}
-	for name, peer := range s.Peers.ByName {
-		if !peer.ListCurrentAt.IsZero() {
-			peer.ListCurrentAt = peer.ListCurrentAt.Add(-ev.Uncounted)
-			s.Peers.ByName[name] = peer
-		}
-	}
+	s.shiftLists(-ev.Uncounted)
 	for id, exception := range v.Exceptions {
 		exception.At = exception.At.Add(-ev.Uncounted)
 		v.Exceptions[id] = exception
@@ -151,6 +143,15 @@
 	}
 }
 
+// noteListed notes when the list of servers was last current, and when this router first had one.
+func (s *State) noteListed(now time.Time) {
+	v := &s.StreamVersions
+	v.checkedAt = s.Roster.ListedAt
+	if v.ListedSince.IsZero() && !v.checkedAt.IsZero() {
+		v.ListedSince = now
+	}
+}
+
 // endStandstill forgets a standstill once the list has been confirmed by what was sent since: what was sent before
 // is in the router's buffers, and arrives within standstillMargin.
 func (s *State) endStandstill(now time.Time) {
--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -165,3 +165,31 @@
 	)
 	r.onlyRefusal()
 }
+
+// TestRouterThatHasJustStartedHasNotHeardTheOneThatIsCutOff guards against the same at a router that has started since the other was cut
+// off: it has never heard from it.
+func TestRouterThatHasJustStartedHasNotHeardTheOneThatIsCutOff(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	for name, isListedBefore := range map[string]bool{"servers join before the start": true, "servers join after the start": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt(names...)
+			f.begun = nil
+			f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			join := func() { f.setVersions("v1", "v2", "v2", "v2"); f.run(time.Second, names...) }
+			if isListedBefore {
+				join()
+			}
+			f.restart(t, "r2")
+			if !isListedBefore {
+				join()
+			}
+			f.run(4*time.Second, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.takeUpAt("r2") // It fails if one goes on at another version.
+		})
+	}
+}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -42,13 +42,14 @@
 	Rollouts       []RolloutNews        `msgpack:"ro,omitempty"` // What the sender knows of roll-outs.
 	OperatorNews   `msgpack:",inline"`
 	CapacityNews   `msgpack:",inline"`
-	RosterRevision Revision   `msgpack:"r"`
-	RosterHash     uint64     `msgpack:"h"`
-	RosterAgeMs    int64      `msgpack:"a"`
-	IsRosterStable bool       `msgpack:"st,omitempty"` // The server list has been up to date for a while.
-	SentAt         time.Time  `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
-	Unreachable    []string   `msgpack:"u,omitempty"`  // Services none of whose servers the sender can connect to.
-	Features       FeatureSet `msgpack:"fe,omitempty"` // Of the sender; none if its build names none. In a large fleet named each largeFleetFeatureInterval.
+	RosterRevision Revision         `msgpack:"r"`
+	RosterHash     uint64           `msgpack:"h"`
+	RosterAgeMs    int64            `msgpack:"a"`
+	IsRosterStable bool             `msgpack:"st,omitempty"` // The server list has been up to date for a while.
+	SentAt         time.Time        `msgpack:"t,omitempty"`  // By the sender's clock; in a large fleet each largeFleetClockInterval.
+	LateLists      map[string]int64 `msgpack:"ll,omitempty"` // By router: how many ms ago its list was last known to be current, if that is long; omitted in a large fleet.
+	Unreachable    []string         `msgpack:"u,omitempty"`  // Services none of whose servers the sender can connect to.
+	Features       FeatureSet       `msgpack:"fe,omitempty"` // Of the sender; none if its build names none. In a large fleet named each largeFleetFeatureInterval.
 }
 
 // NoticeNews passes on what a server has announced in a response to the sender, which shares a tunnel with the receiver.
@@ -382,7 +383,7 @@
 	}
 	status.IsRosterStable = s.Roster.IsStable(now)
 	if !s.Membership.IsLarge() {
-		status.InFlight, status.Features = s.inFlight(), OwnFeatures
+		status.InFlight, status.Features, status.LateLists = s.inFlight(), OwnFeatures, s.lateLists(now)
 	}
 	return status
 }
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -178,7 +178,7 @@
 	if s.Roster.ListedAt.After(s.StreamVersions.checkedAt) {
 		s.forwardHeldStreams(now)
 	}
-	s.StreamVersions.checkedAt = s.Roster.ListedAt
+	s.noteListed(now)
 	s.updateReadiness()
 	s.updateTimer(now)
 	return s.effects
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -54,6 +54,8 @@
 	ClockWrittenAt   time.Time
 	RecordedClocks   map[string]time.Duration // By router: by how much its clock is ahead, by the record.
 	ListLags         []ListLag                // Of other routers, up to maxStreamAge ago.
+	ListedSince      time.Time                // When this router first had a list of servers.
+	ToldLists        map[string]time.Time     // By router that has not been heard from since the start: as of when its list was current, as told by others.
 	IsListLate       bool                     // The list of another router may be older than one that follows all changes.
 
 	checkedAt time.Time // When the list of servers was last current, before the present step.
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -104,8 +104,15 @@
 // newStreamsOfBuilds returns a fleet with streams; routers that builds does not name run this build.
 func newStreamsOfBuilds(t *testing.T, builds map[string]build, names ...string) *streams {
 	t.Helper()
-	f := &streams{fleet: newFleet(t, names...), WithT: NewWithT(t), names: names, waits: callerTimeout, held: map[string]begunStream{}}
+	f := newFleet(t, names...)
 	f.builds = builds
+	return newStreamsOfFleet(t, f, names)
+}
+
+// newStreamsOfFleet returns a fleet with streams whose routers have just started.
+func newStreamsOfFleet(t *testing.T, routers *fleet, names []string) *streams {
+	t.Helper()
+	f := &streams{fleet: routers, WithT: NewWithT(t), names: names, waits: callerTimeout, held: map[string]begunStream{}}
 	f.onForward = func(name string, n dtdispatch.RequestNumber) {
 		f.begun = append(f.begun, f.held[fmt.Sprint(name, n)])
 		delete(f.held, fmt.Sprint(name, n))
--- a/dottereltack/dtmesh/formats_test.go
+++ b/dottereltack/dtmesh/formats_test.go
@@ -36,7 +36,7 @@
 		"nn": {""}, "tr": {""},
 	},
 	"180fcdf": {"d": {"Features"}},
-	thisBuild: {"d": {"Rollouts", "CapacityNews"}, "l": {"Rollouts", "CapacityNews"}, "dl": {"Rollouts", "Table", "ListHash", "CapacityNews"}, "fl": {"Rollouts", "CapacityNews"}, "ft": {""}},
+	thisBuild: {"d": {"Rollouts", "CapacityNews", "LateLists"}, "l": {"Rollouts", "CapacityNews"}, "dl": {"Rollouts", "Table", "ListHash", "CapacityNews"}, "fl": {"Rollouts", "CapacityNews"}, "ft": {""}},
 }
 
 // readSamples returns the samples of a landing by key.
