dtdispatch: a waiting request is placed by an older configuration

A request that had waited for room ran with a key that had been revoked, on a route that was gone, or at the service that its route had left, up to the end of its wait after the change was in force.

Cause: route, account and service are set once, when a request arrives. Requests held at a start, after a pause and for the record of versions are handled anew from their arrival; those that wait for a turn or for room at brittle servers were not.

Evidence: TestWaitingRequestIsPlacedByAnOlderConfiguration failed in each of its cases before. A new configuration is applied to each request that has not been sent; one on which it decides as before keeps its place, the others are refused or handled as if they arrived. Attempts after the first stay with the service and the account of the first, as it may have run there.

--- a/core/dtdispatch/admission.go
+++ b/core/dtdispatch/admission.go
@@ -7,10 +7,7 @@
 	if s.Config == nil && s.holdAtStart(&ev, ev.CallerTimeout, now) {
 		return
 	}
-	r := &Request{Number: ev.Number, ID: ev.ID, StreamID: ev.ID, ResumeAfter: ev.ResumeAfter, PromptParts: ev.PromptParts, Digest: ev.Digest, ArrivedAt: ev.HeaderReadAt}
-	if ev.ResumeAfter != "" && ev.ResumesID != "" {
-		r.StreamID = ev.ResumesID
-	}
+	r := newRequest(&ev)
 	if refusal, ok := s.admit(r, &ev, now); !ok {
 		s.refuse(r, refusal, now)
 		return
@@ -29,6 +26,17 @@
 	}
 }
 
+func newRequest(ev *RequestArrived) *Request {
+	r := &Request{
+		Number: ev.Number, ID: ev.ID, StreamID: ev.ID, ResumeAfter: ev.ResumeAfter, PromptParts: ev.PromptParts, Digest: ev.Digest,
+		ArrivedAt: ev.HeaderReadAt, Arrival: *ev,
+	}
+	if ev.ResumeAfter != "" && ev.ResumesID != "" {
+		r.StreamID = ev.ResumesID
+	}
+	return r
+}
+
 // admit fills in r from the configuration, or returns a refusal and false.
 func (s *State) admit(r *Request, ev *RequestArrived, now time.Time) (Refuse, bool) {
 	if s.Config == nil {
--- a/core/dtdispatch/configchange.go
+++ b/core/dtdispatch/configchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -75,6 +76,43 @@
 	if s.Membership.IsLarge() && s.isReader(now) {
 		s.sendStatusToDomain(now)
 	}
+	s.readmitWaiting(now)
+}
+
+// readmitWaiting handles the requests anew that wait for room and have not been sent, unless the configuration decides on them as the
+// former one did.
+func (s *State) readmitWaiting(now time.Time) {
+	for _, number := range sortedKeys(s.Requests) {
+		r := s.Requests[number]
+		if r == nil || r.Attempt > 0 {
+			continue
+		}
+		next := newRequest(&r.Arrival)
+		refusal, isAdmitted := s.admit(next, &r.Arrival, now)
+		if isAdmitted && next.Service == r.Service && next.Account == r.Account && next.Priority == r.Priority && next.Deadline.Equal(r.Deadline) {
+			r.Route, r.AllowedRegions = next.Route, next.AllowedRegions
+			continue
+		}
+		s.endWaitForChange(r, now)
+		if !isAdmitted {
+			s.refuse(r, refusal, now)
+			continue
+		}
+		delete(s.Requests, number)
+		s.handleRequestArrived(r.Arrival, now)
+	}
+}
+
+// endWaitForChange takes a request from those that wait, since the configuration has changed.
+func (s *State) endWaitForChange(r *Request, now time.Time) {
+	s.RoomWaits = slices.DeleteFunc(s.RoomWaits, func(number RequestNumber) bool { return number == r.Number })
+	c := s.Contention[r.Service]
+	if c == nil {
+		return
+	}
+	if w, isWaiting := c.Queue.Remove(uint64(r.Number)); isWaiting {
+		s.logWait(r, &w, "configuration_changed", now)
+	}
 }
 
 // rejectConfig logs a rejection, unless it is the last one again, and has a router not asked for that configuration again.
--- a/core/dtdispatch/contention_test.go
+++ b/core/dtdispatch/contention_test.go
@@ -1,6 +1,7 @@
 package dtdispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -152,3 +153,51 @@
 	r.Expect(r.onlyRefusal().RetryAfter).To(Equal(300 * time.Millisecond))
 	r.Expect(r.state.Contention).To(BeEmpty())
 }
+
+// TestWaitingRequestIsPlacedByAnOlderConfiguration guards against a request that has waited for room and is handled by the configuration
+// of its arrival: with a key that has been withdrawn, on a route that is gone, or at a service that the route has left.
+func TestWaitingRequestIsPlacedByAnOlderConfiguration(t *testing.T) {
+	for name, change := range map[string]func(c *dtdispatch.Config){
+		"key withdrawn": func(c *dtdispatch.Config) { delete(c.AccountsByKey, "k1") },
+		"route removed": func(c *dtdispatch.Config) { *c = *withoutRoute(c, "/once/") },
+		"route moved": func(c *dtdispatch.Config) {
+			c.Services["b"] = c.Services["a"]
+			c.MatchRoute("h.example", "/once/x").Shares = []dtdispatch.Share{{Service: "b", Weight: 1}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newSharingRouter(t)
+			first := r.sendRequest("/once/a")
+			r.sendRequest("/once/a")
+			waiting := r.sendRequest("/once/a")
+			r.Expect(effectsOf[dtdispatch.SendRequest](r.effects)).To(BeEmpty())
+			servers := testServers(2)
+			servers[0].Slots, servers[1].Service = 2, "b"
+			r.listServers(2, servers...)
+			config := testConfig(2)
+			change(config)
+			effects := r.step(dtdispatch.ConfigReceived{Config: config})
+			r.endAttempt(first, 1, dtdispatch.OutcomeCompleted)
+			effects = append(effects, r.effects...)
+			refusals, sends := effectsOf[dtdispatch.Refuse](effects), effectsOf[dtdispatch.SendRequest](effects)
+			switch name {
+			case "key withdrawn":
+				r.Expect(refusals).To(ConsistOf(And(HaveField("Number", waiting), HaveField("Status", 401))))
+			case "route removed":
+				r.Expect(refusals).To(ConsistOf(And(HaveField("Number", waiting), HaveField("Status", 404))))
+			case "route moved":
+				r.Expect(sends).To(ConsistOf(And(HaveField("Number", waiting), HaveField("Server", dtdispatch.ServerID("s1")))))
+			}
+		})
+	}
+}
+
+// withoutRoute returns a configuration without the route of a prefix.
+func withoutRoute(c *dtdispatch.Config, prefix string) *dtdispatch.Config {
+	changed := *c
+	changed.RoutesByHost = map[string][]dtdispatch.Route{}
+	for host, routes := range c.RoutesByHost {
+		changed.RoutesByHost[host] = slices.DeleteFunc(slices.Clone(routes), func(r dtdispatch.Route) bool { return r.Prefix == prefix })
+	}
+	return &changed
+}
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -24,54 +24,54 @@
 
 // Request is the state of a caller's request until its final response.
 type Request struct {
-	Number           RequestNumber
-	ID               string
-	StreamID         string    // Of the request that began the stream; ID unless the request goes on with one.
-	StreamTime       time.Time // Time of a new stream; see StreamVersions.
-	ResumeAfter      string    // See RequestArrived.
-	Route            *Route
-	Service          string
-	Account          string
-	AllowedRegions   []string // Regions allowed for the account, in addition to the route's restriction.
-	Priority         int
-	PromptParts      []PromptPart
-	Digest           uint64
-	ArrivedAt        time.Time
-	Deadline         time.Time
-	Attempt          int        // Number of the current attempt, from 1.
-	SentAttempts     int        // Attempts that may have reached a server.
-	Server           ServerID   // Of the current attempt.
-	ServerVersion    string     // Software version of Server.
-	ServerStart      int64      // Start of Server, of the incarnation that was listed when the attempt began, or of a later one that may have responded.
-	SentStart        int64      // ServerStart when the attempt began.
-	SentAt           time.Time  // When the current attempt began.
-	ConnectedAt      time.Time  // When the connection of the current attempt was opened, once the server has responded.
-	Placement        Placement  // Of the current attempt.
-	TriedServers     []ServerID // Servers that must not be tried again.
-	Version          string     // Software version that has begun the stream of a resumable response.
-	HasVersion       bool       // Version is known.
-	RecordSeq        uint64     // Of the StreamException of the stream; zero if there is none.
-	Via              []Via      // Of the current attempt; empty if it has a direct connection.
-	LastVia          string     // Router by way of which the last attempt that has ended was sent, or "".
-	DirectFailures   []ServerID // Those of TriedServers that a tunnel may reach.
-	TunnelFailures   int        // Attempts for which no router has opened a tunnel.
-	IsStartKnown     bool       // The server of the current attempt has named ServerStart over its connection.
-	Reconnected      bool       // The server of the current attempt had closed an idle connection; see ResponseStarted.
-	SilentAttempt    int        // Last attempt whose server was silent when its response was due.
-	HoldsStream      bool       // The relay holds the stream of the current attempt until ForwardStream.
-	IsStreamHeld     bool       // The relay has the first event of that stream.
-	AwaitsRecord     bool       // This router did not know yet which mix is recorded when the stream began.
-	WaitsUntil       time.Time  // For room at a brittle server; zero if the request has not waited.
-	HasQueued        bool       // Requests waited at the server when the response to the current attempt began.
-	PaceLimit        float64    // Of the server of the current attempt when it was sent; zero if it had no pace.
-	IsTurnedAway     bool       // A brittle server has had no room for it.
-	MayHaveRun       bool       // An attempt may have been executed.
-	HasServerFailure bool       // The relay has an error response of a server to forward.
-	ResponseStarted  bool       // Part of the response has reached the caller.
-	ClosedAt         time.Time  // When the end of a response was read that has ended with its connection.
-	Framing          Framing    // Of the response to the last attempt that has ended.
-	LastEvent        string     // ID of the last event that had reached the caller then.
-
+	Number            RequestNumber
+	ID                string
+	StreamID          string    // Of the request that began the stream; ID unless the request goes on with one.
+	StreamTime        time.Time // Time of a new stream; see StreamVersions.
+	ResumeAfter       string    // See RequestArrived.
+	Arrival           RequestArrived
+	Route             *Route
+	Service           string
+	Account           string
+	AllowedRegions    []string // Regions allowed for the account, in addition to the route's restriction.
+	Priority          int
+	PromptParts       []PromptPart
+	Digest            uint64
+	ArrivedAt         time.Time
+	Deadline          time.Time
+	Attempt           int          // Number of the current attempt, from 1.
+	SentAttempts      int          // Attempts that may have reached a server.
+	Server            ServerID     // Of the current attempt.
+	ServerVersion     string       // Software version of Server.
+	ServerStart       int64        // Start of Server, of the incarnation that was listed when the attempt began, or of a later one that may have responded.
+	SentStart         int64        // ServerStart when the attempt began.
+	SentAt            time.Time    // When the current attempt began.
+	ConnectedAt       time.Time    // When the connection of the current attempt was opened, once the server has responded.
+	Placement         Placement    // Of the current attempt.
+	TriedServers      []ServerID   // Servers that must not be tried again.
+	Version           string       // Software version that has begun the stream of a resumable response.
+	HasVersion        bool         // Version is known.
+	RecordSeq         uint64       // Of the StreamException of the stream; zero if there is none.
+	Via               []Via        // Of the current attempt; empty if it has a direct connection.
+	LastVia           string       // Router by way of which the last attempt that has ended was sent, or "".
+	DirectFailures    []ServerID   // Those of TriedServers that a tunnel may reach.
+	TunnelFailures    int          // Attempts for which no router has opened a tunnel.
+	IsStartKnown      bool         // The server of the current attempt has named ServerStart over its connection.
+	Reconnected       bool         // The server of the current attempt had closed an idle connection; see ResponseStarted.
+	SilentAttempt     int          // Last attempt whose server was silent when its response was due.
+	HoldsStream       bool         // The relay holds the stream of the current attempt until ForwardStream.
+	IsStreamHeld      bool         // The relay has the first event of that stream.
+	AwaitsRecord      bool         // This router did not know yet which mix is recorded when the stream began.
+	WaitsUntil        time.Time    // For room at a brittle server; zero if the request has not waited.
+	HasQueued         bool         // Requests waited at the server when the response to the current attempt began.
+	PaceLimit         float64      // Of the server of the current attempt when it was sent; zero if it had no pace.
+	IsTurnedAway      bool         // A brittle server has had no room for it.
+	MayHaveRun        bool         // An attempt may have been executed.
+	HasServerFailure  bool         // The relay has an error response of a server to forward.
+	ResponseStarted   bool         // Part of the response has reached the caller.
+	ClosedAt          time.Time    // When the end of a response was read that has ended with its connection.
+	Framing           Framing      // Of the response to the last attempt that has ended.
+	LastEvent         string       // ID of the last event that had reached the caller then.
 	Origin            StreamOrigin // Of a new stream.
 	ResponseStartedAt time.Time    // When the first event of the current attempt arrived.
 }
