dtdispatch: the log tells why a change of the configuration is not in force

The line of a request named the version at its end, which may be newer than the one by which it was placed (TestRequestLineNamesTheVersionThat- Decided failed before), and nothing told how old a router's knowledge of the configuration was, or how long it had known of a newer version that it had not got.

--- a/core/dtdispatch/admission.go
+++ b/core/dtdispatch/admission.go
@@ -42,6 +42,7 @@
 	if s.Config == nil {
 		return unavailable(ReasonNoConfig, retryAfterNoConfig), false
 	}
+	r.ConfigVersion = s.Config.Version
 	r.Route = s.Config.MatchRoute(ev.Host, ev.Path)
 	if r.Route == nil {
 		return Refuse{Status: statusNotFound, Reason: ReasonNoRoute}, false
--- a/core/dtdispatch/configchange.go
+++ b/core/dtdispatch/configchange.go
@@ -69,10 +69,14 @@
 	if s.Config != nil && s.StreamVersions.inheritTimeouts(s.Config, config) {
 		s.StreamVersions.MixWrite.markDue(now.Add(versionRecordDelay))
 	}
+	record := LogRecord{Event: "configuration", Subject: sourceOf(ev.From), Outcome: "in_force", ConfigVersion: config.Version}
+	if since := s.OperatorKeys.BehindSince; !since.IsZero() {
+		record.Waited = now.Sub(since)
+	}
 	s.Config = config
 	s.OperatorKeys.BehindSince = time.Time{}
 	s.emit(PublishConfig{Config: config})
-	s.emit(LogRecord{Event: "configuration", Subject: sourceOf(ev.From), Outcome: "in_force", ConfigVersion: config.Version})
+	s.emit(record)
 	if s.Membership.IsLarge() && s.isReader(now) {
 		s.sendStatusToDomain(now)
 	}
@@ -90,7 +94,7 @@
 		next := newRequest(&r.Arrival)
 		refusal, isAdmitted := s.admit(next, &r.Arrival, now)
 		if isAdmitted && next.Service == r.Service && next.Account == r.Account && next.Priority == r.Priority && next.Deadline.Equal(r.Deadline) {
-			r.Route, r.AllowedRegions = next.Route, next.AllowedRegions
+			r.Route, r.AllowedRegions, r.ConfigVersion = next.Route, next.AllowedRegions, next.ConfigVersion
 			continue
 		}
 		s.endWaitForChange(r, now)
--- a/core/dtdispatch/configchange_test.go
+++ b/core/dtdispatch/configchange_test.go
@@ -104,3 +104,13 @@
 	r.advance(time.Second)
 	r.Expect(requested("r2", 10)).To(BeTrue(), "another version")
 }
+
+// TestRequestLineNamesTheVersionThatDecided guards against a log that names the version of the end of a request, which may not be the one
+// by which it was placed.
+func TestRequestLineNamesTheVersionThatDecided(t *testing.T) {
+	r := newRouter(t, 2)
+	n := r.sendRequest("/once/x")
+	r.step(dtdispatch.ConfigReceived{Config: testConfig(2)})
+	r.endAttempt(n, 1, dtdispatch.OutcomeCompleted)
+	r.Expect(effectsOf[dtdispatch.LogRecord](r.effects)).To(ContainElement(And(HaveField("Event", "request"), HaveField("ConfigVersion", int64(1)))))
+}
--- a/core/dtdispatch/effect.go
+++ b/core/dtdispatch/effect.go
@@ -180,7 +180,7 @@
 	Status        int    // HTTP status.
 	Attempt       int
 	Elapsed       time.Duration // Time since the request arrived.
-	Waited        time.Duration // For the result of a check of the server, or for a turn.
+	Waited        time.Duration // For the result of a check of the server, for a turn, or for a configuration that another router has named.
 	Priority      int           // Of a request that has waited for a turn.
 	IsReturned    bool          // Its caller has returned at the time that a refusal had named.
 	Kind          string        // Kind of the route: "once", "repeatable" or "stream"; or of a message between routers.
@@ -188,6 +188,7 @@
 	Account       string
 	Placement     Placement
 	ConfigVersion int64         // Version of the configuration used for the decision.
+	ConfigAge     time.Duration // Time since the configuration of the router was known to be current.
 	RosterAge     time.Duration // Age of the server list used for the decision.
 	RouterCount   int           // Number of routers that share the fleet's budgets.
 	Sharing       int           // Number of routers with this router's list of servers, itself included, if none has another.
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -104,6 +104,14 @@
 	return s.Config.Version
 }
 
+// configAge returns the time since the configuration was known to be current, or zero if it never was.
+func (s *State) configAge(now time.Time) time.Duration {
+	if s.OperatorKeys.ConfirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.OperatorKeys.ConfirmedAt)
+}
+
 func (s *State) confirmOperatorKeys(at time.Time) {
 	s.OperatorKeys.ConfirmedAt = later(s.OperatorKeys.ConfirmedAt, at)
 }
--- a/core/dtdispatch/request.go
+++ b/core/dtdispatch/request.go
@@ -31,6 +31,7 @@
 	ResumeAfter       string    // See RequestArrived.
 	Arrival           RequestArrived
 	Route             *Route
+	ConfigVersion     int64 // Of the configuration that has decided on Route and Account.
 	Service           string
 	Account           string
 	AllowedRegions    []string // Regions allowed for the account, in addition to the route's restriction.
@@ -383,9 +384,7 @@
 		Event: "request", RequestID: r.ID, Stream: r.stream(), Subject: string(r.Server), Version: r.ServerVersion, Outcome: outcome, Status: status, Attempt: r.Attempt,
 		Elapsed: now.Sub(r.ArrivedAt), Account: r.Account, Placement: r.Placement, RouterCount: s.RouterCount(), Framing: r.Framing, LastEvent: r.LastEvent, Via: r.LastVia,
 	}
-	if s.Config != nil {
-		record.ConfigVersion = s.Config.Version
-	}
+	record.ConfigVersion, record.ConfigAge = r.ConfigVersion, s.configAge(now)
 	if !s.Roster.ListedAt.IsZero() {
 		record.RosterAge = now.Sub(s.Roster.ListedAt)
 	}
--- a/dottereltack/dtnode/record.go
+++ b/dottereltack/dtnode/record.go
@@ -19,6 +19,7 @@
 	servers       atomic.Int64
 	routers       atomic.Int64
 	configVersion atomic.Int64
+	confirmedAtMs atomic.Int64 // Unix milliseconds as of which the configuration was known to be current.
 	listedAtMs    atomic.Int64 // Unix milliseconds.
 	storeEra      atomic.Int64
 	budgetRouters atomic.Int64
@@ -46,6 +47,9 @@
 	set.NewGauge("dottereltack_clock_difference_max_seconds", func() float64 {
 		return (time.Duration(g.maxClockMs.Load()) * time.Millisecond).Seconds()
 	})
+	set.NewGauge("dottereltack_configuration_age_seconds", func() float64 {
+		return time.Since(time.UnixMilli(g.confirmedAtMs.Load())).Seconds()
+	})
 	set.NewGauge("dottereltack_server_list_age_seconds", func() float64 {
 		return time.Since(time.UnixMilli(g.listedAtMs.Load())).Seconds()
 	})
@@ -58,6 +62,7 @@
 	n.gauges.heldAtStart.Store(int64(len(s.Startup.Held)))
 	n.gauges.servers.Store(int64(len(s.Roster.Servers)))
 	n.gauges.routers.Store(int64(len(s.Peers.ByName) + 1))
+	n.gauges.confirmedAtMs.Store(s.OperatorKeys.ConfirmedAt.UnixMilli())
 	n.gauges.listedAtMs.Store(s.Roster.ListedAt.UnixMilli())
 	n.gauges.storeEra.Store(int64(s.StoreEra))
 	n.gauges.budgetRouters.Store(int64(s.BudgetRouters))
@@ -138,7 +143,7 @@
 	add("kind", e.Kind, e.Kind != "")
 	add("route", e.Route, e.Route != "")
 	add("account", e.Account, e.Account != "")
-	add("site", e.ConfigVersion, e.ConfigVersion != 0)
+	addConfig(e, add)
 	add("list_age_ms", e.RosterAge.Milliseconds(), e.RosterAge != 0)
 	add("routers", e.RouterCount, e.RouterCount != 0)
 	add("sharing", e.Sharing, e.Event == "stream_version")
@@ -173,6 +178,13 @@
 	add("router_age_ms", e.RouterAge.Milliseconds(), isSet)
 }
 
+// addConfig adds the fields of the configuration.
+func addConfig(e *dtdispatch.LogRecord, add func(key string, value any, include bool)) {
+	add("site", e.ConfigVersion, e.ConfigVersion != 0)
+	add("behind_ms", e.Waited.Milliseconds(), e.Event == "configuration" && e.Waited > 0)
+	add("config_age_ms", e.ConfigAge.Milliseconds(), e.ConfigAge != 0)
+}
+
 // addWait adds the fields of a wait for a turn.
 func addWait(e *dtdispatch.LogRecord, add func(key string, value any, include bool)) {
 	isWait := e.Event == "wait"
