--- a/core/dtdispatch/contention.go
+++ b/core/dtdispatch/contention.go
@@ -171,21 +171,6 @@
 	})
 }
 
-// handleCallerLeft removes a request that waits.
-func (s *State) handleCallerLeft(ev CallerLeft, now time.Time) {
-	r := s.Requests[ev.Number]
-	if r == nil || s.Contention[r.Service] == nil {
-		return
-	}
-	w, isWaiting := s.Contention[r.Service].Queue.Remove(uint64(ev.Number))
-	if !isWaiting {
-		return
-	}
-	s.logWait(r, &w, ReasonCallerGone.String(), now)
-	s.emit(AbortResponse{Number: r.Number})
-	s.finish(r, ReasonCallerGone.String(), 0, now)
-}
-
 // nextTurnAt returns when room is to be looked for again unless something happens before, or the zero time.
 func (s *State) nextTurnAt(now time.Time) time.Time {
 	next := time.Time{}
