--- a/dottereltack/dtnode/callerleft_test.go
+++ b/dottereltack/dtnode/callerleft_test.go
@@ -103,3 +103,80 @@
 	n.Eventually(endedAt, "10s").Should(Receive(&noticedAt))
 	n.Expect(noticedAt.Sub(leftAt)).To(BeNumerically("<", maxWorkAfterLeave))
 }
+
+// TestServerWorksOnForACallerThatHasLeft guards against a departure that goes unnoticed, or is not passed on to the server, in one
+// of the states of a request.
+func TestServerWorksOnForACallerThatHasLeft(t *testing.T) {
+	const readable = "/read/x"
+	silent := func(string, net.Conn) {}
+	for name, tc := range map[string]struct {
+		path    string
+		prepare func(n *testNode, c *caller)
+		respond func(id string, c net.Conn) // Before the server waits.
+		leave   func(c *net.TCPConn) error
+	}{
+		"after an earlier response": {path: readable, prepare: func(n *testNode, c *caller) {
+			for i := range 3 {
+				c.send("/once/x", fmt.Sprint("earlier", i), "")
+				_, err := c.readResponse()
+				n.Expect(err).NotTo(HaveOccurred())
+			}
+		}, respond: silent},
+		"half close": {path: readable, respond: silent, leave: (*net.TCPConn).CloseWrite},
+		"half of the head": {path: readable, respond: func(id string, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n")
+		}},
+		"half of the body": {path: readable, respond: func(id string, c net.Conn) {
+			_, _ = io.WriteString(c, okResponse(id, "whole")[:len(okResponse(id, "whole"))-1])
+		}},
+		"interim response": {path: readable, respond: func(_ string, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		}},
+		"stream without an event": {path: "/stream/x", respond: func(id string, c net.Conn) {
+			_, _ = io.WriteString(c, streamHead(id))
+		}},
+		"stream in an event": {path: "/live/x", respond: func(id string, c net.Conn) {
+			_, _ = io.WriteString(c, streamHead(id)+chunk(event(1)+"id: 2\n"))
+		}},
+		"stream that its caller does not read": {path: "/live/x", respond: func(id string, c net.Conn) {
+			_, _ = io.WriteString(c, streamHead(id))
+			_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			for i, err := 1, error(nil); err == nil; i++ {
+				_, err = io.WriteString(c, chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("d", 16<<10))))
+			}
+		}},
+		"router that is stopping": {path: readable, prepare: func(n *testNode, _ *caller) {
+			time.AfterFunc(100*time.Millisecond, func() { n.Stop() })
+		}, respond: func(string, net.Conn) { time.Sleep(200 * time.Millisecond) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			working, endedAt := make(chan struct{}, 1), make(chan time.Time, 1)
+			n := newNode(t, newServer(t, func(id string, _ *http.Request, c net.Conn) {
+				if id != "q" {
+					_, _ = io.WriteString(c, okResponse(id, id))
+					return
+				}
+				tc.respond(id, c)
+				working <- struct{}{}
+				_, _ = c.Read(make([]byte, 1))
+				endedAt <- time.Now()
+			}))
+			c := n.dial()
+			if tc.prepare != nil {
+				tc.prepare(n, c)
+			}
+			c.send(tc.path, "q", "body")
+			n.Eventually(working, "2s").Should(Receive())
+			leave, leftAt := (*net.TCPConn).Close, time.Now()
+			if tc.leave != nil {
+				leave = tc.leave
+			}
+			tcp, _ := c.Conn.(*net.TCPConn)
+			n.Expect(leave(tcp)).To(Succeed())
+			var noticedAt time.Time
+			n.Eventually(endedAt, "1500ms").Should(Receive(&noticedAt))
+			n.Expect(noticedAt.Sub(leftAt)).To(BeNumerically("<", maxWorkAfterLeave))
+		})
+	}
+}
