dtrelay: a departure overtakes the request that it ends

At a router that was late, a request whose caller had left went on waiting for a slot, up to its deadline, in the place of others.

Departures were posted in the queue of events, which the loop handles before that of requests. If both were waiting, the reducer heard of the departure first, did not know the request, and dropped it.

Departures are offered to the queue of requests, which keeps the order. If that is full, they are posted as before.

--- a/dottereltack/dtloop/loop.go
+++ b/dottereltack/dtloop/loop.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// Offer queues a new request without blocking and reports whether there was room.
+// Offer queues a new request, or news of one that Post would put before it, without blocking and reports whether there was room.
 func (l *Loop[S, E, F]) Offer(ev E) bool {
 	select {
 	case l.requests <- ev:
--- a/dottereltack/dtnode/wait_test.go
+++ b/dottereltack/dtnode/wait_test.go
@@ -70,3 +70,35 @@
 	}
 	n.Stop()
 }
+
+// TestDepartureOvertakesItsRequest guards against a request that waits for a slot without its caller, since a router that was late has
+// handled the departure before the arrival.
+func TestDepartureOvertakesItsRequest(t *testing.T) {
+	release := make(chan struct{})
+	server := newServer(t, func(id string, _ *http.Request, c net.Conn) {
+		<-release
+		_, _ = io.WriteString(c, okResponse(id, id))
+	})
+	n := newNode(t, server)
+	defer close(release)
+	n.Loop.Do(func(s *dtdispatch.State) {
+		s.Settings.SharesRoom = true
+		for i := range s.Config.RoutesByHost["h"] {
+			s.Config.RoutesByHost["h"][i].Timeout = time.Minute
+		}
+	})
+	n.Loop.Post(dtdispatch.ServersListed{Revision: 2, Servers: []dtdispatch.Server{{ID: "s0", Service: "a", Address: server.address, Domain: "d", Slots: 1}}})
+	first, left := n.dial(), n.dial()
+	first.send("/once/a", "first", "")
+	n.Eventually(server.requests, "5s").Should(HaveLen(1))
+	n.Loop.Do(func(*dtdispatch.State) {
+		left.send("/once/a", "left", "")
+		time.Sleep(200 * time.Millisecond)
+		_ = left.Close()
+		time.Sleep(200 * time.Millisecond)
+	})
+	time.Sleep(100 * time.Millisecond)
+	requests := 0
+	n.Loop.Do(func(s *dtdispatch.State) { requests = len(s.Requests) })
+	n.Expect(requests).To(Equal(1))
+}
--- a/dottereltack/dtrelay/exchange.go
+++ b/dottereltack/dtrelay/exchange.go
@@ -108,8 +108,12 @@
 	return x.callerDisconnected
 }
 
+// reportCallerLeft tells the reducer that the caller has disconnected, in the queue of the request, which Post would overtake.
 func (x *exchange) reportCallerLeft() {
-	x.relay.events.Post(dtdispatch.CallerLeft{Number: x.number})
+	ev := dtdispatch.CallerLeft{Number: x.number}
+	if !x.relay.events.Offer(ev) {
+		x.relay.events.Post(ev)
+	}
 }
 
 // Refusal of requests while the event queue of the reducer is full.
