dtdispatch: the search for the reader copies each peer to the heap

What callers saw: routers with a fifth of a core had little left for requests as the fleet grew.

Cause: each step asks up to six times which router reads the list or writes the record, and each search passed the address of a copy of every peer to a function value, which puts it on the heap.

The function takes the peer by value and is left out where all may be chosen. The search is still linear in the routers that are heard.

--- a/core/dtdispatch/collect.go
+++ b/core/dtdispatch/collect.go
@@ -250,17 +250,20 @@
 // and those heard from within maxSilence, or "" if there is none. It also reads the server
 // list.
 func (s *State) collector(domain string, maxSilence time.Duration, now time.Time) string {
-	return s.firstRouter(domain, maxSilence, func(*Peer) bool { return true }, now)
+	return s.firstRouter(domain, maxSilence, nil, now)
 }
 
-// firstRouter returns the router with the highest capacity of those that may be chosen, as collector does.
-func (s *State) firstRouter(domain string, maxSilence time.Duration, mayChoose func(*Peer) bool, now time.Time) string {
+// firstRouter returns the router with the highest capacity of those that may be chosen, as collector does; nil stands for all.
+func (s *State) firstRouter(domain string, maxSilence time.Duration, mayChoose func(Peer) bool, now time.Time) string {
 	best := ""
 	if domain == s.Settings.Domain {
 		best = s.Settings.RouterName
 	}
 	for name, peer := range s.Peers.ByName {
-		if peer.Domain == domain && now.Sub(peer.LastHeardAt) < maxSilence && mayChoose(&peer) && (best == "" || s.Membership.compareCapacity(name, best) < 0) {
+		if peer.Domain != domain || now.Sub(peer.LastHeardAt) >= maxSilence || mayChoose != nil && !mayChoose(peer) {
+			continue
+		}
+		if best == "" || s.Membership.compareCapacity(name, best) < 0 {
 			best = name
 		}
 	}
--- a/core/dtdispatch/fleetharness_test.go
+++ b/core/dtdispatch/fleetharness_test.go
@@ -105,7 +105,7 @@
 }
 
 // newFleet returns a fleet of routers in one failure domain.
-func newFleet(t *testing.T, names ...string) *fleet {
+func newFleet(t testing.TB, names ...string) *fleet {
 	t.Helper()
 	f := &fleet{readRevision: map[string]dtdispatch.Revision{}, waitingUntil: map[string]time.Time{}, links: map[string]map[string]string{}, onward: map[string]map[string]string{}, messagesSent: map[string]int{}, bytesSent: map[string]int{}, routers: map[string]*router{}, listCalls: map[string]int{}, store: testServers(4), revision: 1, down: map[string]bool{}, exceptions: map[string]map[string]dtdispatch.StreamException{}}
 	f.operators = operatorStore{config: testConfig(1), revision: 1, calls: map[string]int{}, readRevision: map[string]dtdispatch.Revision{}, waitingUntil: map[string]time.Time{}}
@@ -306,7 +306,7 @@
 }
 
 // newLargeFleet returns n routers in three failure domains, after their links have been set up.
-func newLargeFleet(t *testing.T, n int) (*fleet, []string) {
+func newLargeFleet(t testing.TB, n int) (*fleet, []string) {
 	t.Helper()
 	f, names := newFleetOfDomains(t, n)
 	f.run(6*time.Second, names...)
@@ -314,7 +314,7 @@
 }
 
 // newFleetOfDomains returns n routers in three failure domains that have just started.
-func newFleetOfDomains(t *testing.T, n int) (*fleet, []string) {
+func newFleetOfDomains(t testing.TB, n int) (*fleet, []string) {
 	t.Helper()
 	f := newFleet(t)
 	var names []string
--- a/core/dtdispatch/harness_test.go
+++ b/core/dtdispatch/harness_test.go
@@ -37,20 +37,20 @@
 }
 
 // newEmptyRouter returns a router of failure domain d0 in its initial state.
-func newEmptyRouter(t *testing.T, name string) *router {
+func newEmptyRouter(t testing.TB, name string) *router {
 	t.Helper()
 	return newRouterInDomain(t, name, "d0")
 }
 
 // newRouterInDomain returns a router of the given failure domain in its initial state.
-func newRouterInDomain(t *testing.T, name, domain string) *router {
+func newRouterInDomain(t testing.TB, name, domain string) *router {
 	t.Helper()
 	now := time.UnixMilli(1_700_000_000_000)
 	return newRouterAt(t, name, domain, now, now.UnixMilli())
 }
 
 // newRouterAt returns a router that starts at now, which is start by its clock.
-func newRouterAt(t *testing.T, name, domain string, now time.Time, start int64) *router {
+func newRouterAt(t testing.TB, name, domain string, now time.Time, start int64) *router {
 	t.Helper()
 	state := dtdispatch.New(dtdispatch.Settings{
 		RouterName: name, Address: name + ":1", OwnAddresses: []string{"10.9.9.9:80"}, Domain: domain, Bounds: bounds, Start: start, Regions: map[string]string{"d0": "east", "d1": "east"},
--- a/core/dtdispatch/rolloutstate.go
+++ b/core/dtdispatch/rolloutstate.go
@@ -234,7 +234,7 @@
 // writesRollouts reports whether this router is the one that writes the status: the reader of the first failure domain
 // that has a router which tells of roll-outs; those of earlier builds do not.
 func (s *State) writesRollouts(now time.Time) bool {
-	knowsRollouts := func(p *Peer) bool { return p.TellsRollouts }
+	knowsRollouts := func(p Peer) bool { return p.TellsRollouts }
 	if s.firstRouter(s.Settings.Domain, readerTimeout, knowsRollouts, now) != s.Settings.RouterName {
 		return false
 	}
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -100,7 +100,7 @@
 // recorder returns the router of a failure domain that records versions for others: its collector, but for routers that record
 // nothing.
 func (s *State) recorder(domain string, maxSilence time.Duration, now time.Time) string {
-	return s.firstRouter(domain, maxSilence, func(p *Peer) bool { return !p.recordsNothing(now) }, now)
+	return s.firstRouter(domain, maxSilence, func(p Peer) bool { return !p.recordsNothing(now) }, now)
 }
 
 func (s *State) isRecorder(now time.Time) bool {
