dtdispatch: a fleet whose entries have lapsed links all to all

What callers saw: routers that stood still after an outage of the store; what part the loop that spun had, and what part this, was not told apart.

Cause: entries of routers lapse while the store is away, and are written again within seconds of its return. The first list after it was short, so that a fleet of 81 counted as a small one, which links all to all and has no collectors; delegates are chosen from those listed.

Before: TestFleetStaysLargeWhileItsEntriesAreBack failed at the first router: not large. After: 48 routers keep their links while the entries of 40 come back.

After an outage, routers that are missing from a list are kept for 10 s, as they are in a new era of the store.

--- a/core/dtdispatch/member.go
+++ b/core/dtdispatch/member.go
@@ -20,7 +20,7 @@
 	routerListIntervalPerRouter = 80 * time.Millisecond   // A longer list is read less often.
 	routerListRetryDelay        = 2500 * time.Millisecond // After a call that returned no list.
 	unlistedRouterRetention     = 30 * time.Second        // Time for which the link to a silent, unlisted router is kept.
-	routerRewritePeriod         = 10 * time.Second        // Routers register again within it in a new era of the store.
+	routerRewritePeriod         = 10 * time.Second        // Routers register again within it in a new era of the store, and after an outage.
 )
 
 // Router is a router as registered in the store.
--- a/core/dtdispatch/rolloutstate.go
+++ b/core/dtdispatch/rolloutstate.go
@@ -320,10 +320,10 @@
 func (s *State) handleRolloutEvent(ev Event, now time.Time) {
 	switch ev := ev.(type) {
 	case RolloutsListed:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.handleRolloutsListed(ev, now)
 	case RolloutStatusStored:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.handleRolloutStatusStored(ev, now)
 	case RolloutStatusFailed:
 		s.handleRolloutStatusFailed(ev, now)
--- a/core/dtdispatch/state.go
+++ b/core/dtdispatch/state.go
@@ -204,17 +204,17 @@
 	case ConfigReceived, ConfigUnreadable:
 		s.handleConfigEvent(ev, now)
 	case ServersListed:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.observeEra(ev.Revision.Era(), now)
 		s.handleServersListed(ev, now)
 	case DomainsOutOfServiceListed:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.observeEra(ev.Revision.Era(), now)
 		s.listOutOfService(ev.Domains, ev.Revision, now)
 	case RolloutsListed, RolloutStatusStored, RolloutStatusFailed:
 		s.handleRolloutEvent(ev, now)
 	case OperatorKeysRead:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.handleOperatorKeysRead(ev, now)
 	case OperatorKeysFailed:
 		s.handleOperatorKeysFailed(ev, now)
@@ -223,17 +223,17 @@
 	case StoreFailed:
 		s.markStoreDown(ev)
 	case RoutersListed:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.handleRoutersListed(ev, now)
 	case RouterRegistered:
 		s.Membership.IsNew = ev.IsNew
 	case SettingsChanged:
 		s.handleSettingsChanged(ev, now)
 	case VersionRecordRead:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.handleVersionRecordRead(ev, now)
 	case VersionRecordWritten:
-		s.markStoreUp()
+		s.markStoreUp(now)
 		s.handleVersionRecordWritten(ev, now)
 	case VersionRecordFailed:
 		s.handleVersionRecordFailed(ev, now)
@@ -265,12 +265,13 @@
 	s.emit(LogRecord{Event: "store_lost", Subject: ev.Call, Detail: ev.Detail})
 }
 
-// markStoreUp restarts the watch after an outage of the store.
-func (s *State) markStoreUp() {
+// markStoreUp restarts the watch after an outage of the store, in which the entries of routers may have lapsed.
+func (s *State) markStoreUp(now time.Time) {
 	if !s.IsStoreDown {
 		return
 	}
 	s.IsStoreDown = false
+	s.Membership.RetainUntil = later(s.Membership.RetainUntil, now.Add(routerRewritePeriod))
 	s.StreamVersions.ExceptionWrite.FailedAt = time.Time{} // Streams can't begin at other versions until it succeeds.
 	s.emit(LogRecord{Event: "store_back"})
 	s.emit(RestartWatch{})
--- a/core/dtdispatch/storeoutage_test.go
+++ b/core/dtdispatch/storeoutage_test.go
@@ -26,3 +26,28 @@
 		r.now = timers[0].At
 	}
 }
+
+// TestFleetStaysLargeWhileItsEntriesAreBack guards against a mesh of all routers, and domains without delegates, after an outage in
+// which the entries of routers have lapsed: those that are alive write them again within seconds.
+func TestFleetStaysLargeWhileItsEntriesAreBack(t *testing.T) {
+	g := NewWithT(t)
+	f, names := newLargeFleet(t, 48)
+	links := map[string]int{}
+	for _, name := range names {
+		links[name] = len(f.links[name])
+	}
+	store := f.store
+	f.store, f.unlisted = nil, map[string]bool{}
+	for _, name := range names[8:] {
+		f.unlisted[name] = true
+	}
+	f.run(7*time.Second, names...)
+	f.store = store
+	for range 8 {
+		f.run(time.Second, names...)
+		for _, name := range names {
+			g.Expect(f.routers[name].state.Membership.IsLarge()).To(BeTrue(), name)
+			g.Expect(len(f.links[name])).To(BeNumerically("<=", links[name]), "links of %s", name)
+		}
+	}
+}
