dtdispatch: routers lose all servers as the store comes back

Cause: entries that have lapsed in an outage are back within two seconds, and a router whose list is old keeps their servers meanwhile. A router that heard first that another had read the list, which was the same as the servers were kept, took its own for current, so that its own read found no outage.

Before: TestServersStayWhenAnotherReadsTheListFirst had no servers left. After: all four.

The grace period begins by whomever the list was read: with a status that confirms it, a list or a change of a peer. A peer that has followed the store all the time still ends it.

--- a/core/dtdispatch/listing.go
+++ b/core/dtdispatch/listing.go
@@ -110,7 +110,7 @@
 	oldHash := s.Roster.Hash
 	old := s.Roster.Servers
 	s.logIgnoredList(ev.Revision)
-	added, removed := s.Roster.Replace(ev.Servers, ev.Revision, outageHeartbeats*s.Settings.Bounds.HeartbeatInterval, now)
+	added, removed := s.Roster.Replace(ev.Servers, ev.Revision, s.outageThreshold(), now)
 	s.handleRosterChange(added, removed, now)
 	s.ServerListPolling.LastHash = s.Roster.Hash
 	if s.Roster.Hash != oldHash {
@@ -118,6 +118,11 @@
 	}
 }
 
+// outageThreshold returns the age of the list at which entries of live servers may have expired.
+func (s *State) outageThreshold() time.Duration {
+	return outageHeartbeats * s.Settings.Bounds.HeartbeatInterval
+}
+
 // logIgnoredList logs the first of several lists in a row that are older than the one in use.
 func (s *State) logIgnoredList(revision Revision) {
 	ignored := revision < s.Roster.Revision
@@ -209,6 +214,7 @@
 	if delta.BaseHash != s.Roster.Hash {
 		revision, listedAt = s.Roster.Revision, s.Roster.ListedAt
 	}
+	s.Roster.observeOutage(listedAt, s.outageThreshold(), now)
 	added, removed := s.Roster.Update(list, revision, listedAt, now)
 	s.handleRosterChange(added, removed, now)
 }
--- a/core/dtdispatch/load.go
+++ b/core/dtdispatch/load.go
@@ -171,3 +171,11 @@
 	}
 	l.ByPeer[name] = PeerLoad{Count: count, UpdatedAt: now}
 }
+
+func (s *State) updatePeerLoads(status *PeerStatus, now time.Time) {
+	for id, server := range s.Roster.Servers {
+		if n := status.InFlight[server.Ref()]; n > 0 || s.Loads[id] != nil {
+			s.serverLoad(id).SetPeerCount(status.From, n, now)
+		}
+	}
+}
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -188,6 +188,7 @@
 		s.StreamVersions.RecordedMixes = reply.Mixes
 	}
 	listedAt := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
+	s.Roster.observeOutage(listedAt, s.outageThreshold(), now)
 	added, removed := s.Roster.Update(s.validServers(reply.Servers), reply.Revision, listedAt, now)
 	s.handleRosterChange(added, removed, now)
 }
@@ -251,19 +252,14 @@
 	s.emit(LogRecord{Event: "router_clock", Subject: status.From, Elapsed: ahead})
 }
 
-func (s *State) updatePeerLoads(status *PeerStatus, now time.Time) {
-	for id, server := range s.Roster.Servers {
-		if n := status.InFlight[server.Ref()]; n > 0 || s.Loads[id] != nil {
-			s.serverLoad(id).SetPeerCount(status.From, n, now)
-		}
-	}
-}
-
 // syncWithPeer confirms this router's server list if the peer has the same one, and requests the
 // peer's list if it is newer. It ends the grace period if the peer could reach the store throughout.
 func (s *State) syncWithPeer(status *PeerStatus, now time.Time) {
 	p := &s.Peers
 	listedAt := now.Add(-time.Duration(status.RosterAgeMs)*time.Millisecond - p.ByName[status.From].LateBy)
+	if status.RosterHash == s.Roster.Hash {
+		s.Roster.observeOutage(listedAt, s.outageThreshold(), now)
+	}
 	if status.IsRosterStable && status.RosterRevision.Era() == s.StoreEra {
 		s.Roster.GraceEndsAt = time.Time{} // The store was reachable throughout, so a server missing from the list is gone.
 	}
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -48,9 +48,7 @@
 	if revision < r.Revision {
 		return nil, nil
 	}
-	if !r.ListedAt.IsZero() && now.Sub(r.ListedAt) > outageThreshold {
-		r.beginGracePeriod(now)
-	}
+	r.observeOutage(now, outageThreshold, now)
 	listed := len(list)
 	list = r.withoutDeparted(list, revision.Era(), now)
 	present := len(list)
@@ -69,6 +67,13 @@
 	r.CopiesLapseAt = now.Add(copyHeartbeats * heartbeat)
 }
 
+// observeOutage begins the grace period if the list is current as of listedAt, by whomever it was read, after it has been too old.
+func (r *Roster) observeOutage(listedAt time.Time, threshold time.Duration, now time.Time) {
+	if !r.ListedAt.IsZero() && listedAt.Sub(r.ListedAt) > threshold {
+		r.beginGracePeriod(now)
+	}
+}
+
 func (r *Roster) beginGracePeriod(now time.Time) {
 	r.GraceEndsAt = now.Add(outageGracePeriod)
 	r.ListedSinceOutage = map[ServerID]bool{}
--- a/core/dtdispatch/storeoutage_test.go
+++ b/core/dtdispatch/storeoutage_test.go
@@ -51,3 +51,24 @@
 		}
 	}
 }
+
+// TestServersStayWhenAnotherReadsTheListFirst guards against routers that lose all servers as the store comes back: one that hears
+// first that another has read the list took its own old one for current, and the entries that had lapsed for servers that have left.
+func TestServersStayWhenAnotherReadsTheListFirst(t *testing.T) {
+	g := NewWithT(t)
+	f, names := newLargeFleet(t, 3)
+	first, second := f.routers[names[0]], f.routers[names[1]]
+	servers := first.state.Roster.Servers
+	g.Expect(servers).To(HaveLen(4))
+	for _, r := range []*router{first, second} {
+		r.now = r.now.Add(6 * time.Second)
+	}
+	first.step(dtdispatch.ServersListed{Revision: 2})
+	g.Expect(first.state.Roster.Servers).To(HaveLen(4), "kept while their entries may be back")
+	first.now = first.now.Add(time.Second)
+	for _, e := range effectsOf[dtdispatch.SendToPeers](first.step(dtdispatch.TimerFired{})) {
+		second.step(dtdispatch.PeerMessageReceived{Message: e.Message})
+	}
+	second.step(dtdispatch.ServersListed{Revision: 2})
+	g.Expect(second.state.Roster.Servers).To(HaveLen(4), "kept, too")
+}
