dtdispatch: what routers know stays young while they pass it on

A router goes by that age when it judges whether to ask the store itself, for the list and for the configuration, whether there was an outage, and which streams it can be certain of.

Cause: a status says how old the sender's knowledge is, without the time that the status is under way. Each hop makes it younger by that, and a fleet has many hops a second.

Before: TestKnowledgeAgesWhilePassedOn, two routers, 5 ms a message: 6 s younger after 6 s without the store. After: less than 0.3 s.

What a peer says counts only if it makes the knowledge younger by 0.1 s, which is more than a message is under way and less than readers wait between two reads. The time of a late status is subtracted as before.

--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -60,8 +60,9 @@
 		s.requestConfig(from, news.ConfigVersion, now)
 		return
 	}
-	if news.AgeMs > 0 {
-		s.confirmOperatorKeys(s.sentBy(from, now).Add(-time.Duration(news.AgeMs) * time.Millisecond))
+	confirmedAt := s.sentBy(from, now).Add(-time.Duration(news.AgeMs) * time.Millisecond)
+	if news.AgeMs > 0 && confirmedAt.Sub(s.OperatorKeys.ConfirmedAt) >= minAgeGain {
+		s.confirmOperatorKeys(confirmedAt)
 	}
 }
 
--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -21,6 +21,9 @@
 	// Time for which statuses of an earlier incarnation are ignored. It is bounded because a
 	// router may restart with its clock set back.
 	staleStatusPeriod = 3 * time.Second
+	// What a peer has said of the age of its knowledge counts only if this router's gets younger by more than messages are under
+	// way: they would make it younger from router to router although nobody reads the store.
+	minAgeGain = 100 * time.Millisecond
 	// Least number of routers assumed to share the budgets until a list of them has been read.
 	defaultRouterCount = 8
 )
@@ -267,7 +270,7 @@
 		return // The peer knows as little as this router: two that start together must not take their empty lists for read.
 	}
 	if status.RosterHash == s.Roster.Hash {
-		s.Roster.Confirm(listedAt, status.RosterRevision, now)
+		s.Roster.ConfirmByPeer(listedAt, status.RosterRevision, now)
 		return
 	}
 	if isFirstReadUnderWay(&s.ServerListPolling.Polling, !s.Roster.ListedAt.IsZero(), now) {
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// ConfirmByPeer is like Confirm for what a peer has said of its own list, which is the same.
+func (r *Roster) ConfirmByPeer(listedAt time.Time, revision Revision, now time.Time) {
+	if listedAt.Sub(r.ListedAt) < minAgeGain {
+		listedAt = r.ListedAt
+	}
+	r.Confirm(listedAt, revision, now)
+}
+
 // firstListedAt returns the time when the incarnation of a server was first listed. One of the first list has been up for
 // an unknown time, which is short if it is cold.
 func (r *Roster) firstListedAt(server *Server, now time.Time) time.Time {
--- a/core/dtdispatch/storeoutage_test.go
+++ b/core/dtdispatch/storeoutage_test.go
@@ -72,3 +72,28 @@
 	second.step(dtdispatch.ServersListed{Revision: 2})
 	g.Expect(second.state.Roster.Servers).To(HaveLen(4), "kept, too")
 }
+
+// TestKnowledgeAgesWhilePassedOn guards against a fleet without the store whose list and configuration stay young: each router that
+// passed on how old they were counted the time of the message as if it had not passed.
+func TestKnowledgeAgesWhilePassedOn(t *testing.T) {
+	const transit, outage = 5 * time.Millisecond, 6 * time.Second
+	g := NewWithT(t)
+	f, names := newLargeFleet(t, 3)
+	a, b := f.routers[names[0]], f.routers[names[1]]
+	listedAt, confirmedAt := a.state.Roster.ListedAt, a.state.OperatorKeys.ConfirmedAt
+	from, to := a, b
+	for end := a.now.Add(outage); from.now.Before(end); from, to = to, from {
+		from.state.Peers.NextStatusAt = from.now
+		from.state.IsStoreDown = true // So that a status is sent although nothing has changed.
+		sent := effectsOf[dtdispatch.SendToPeers](from.step(dtdispatch.TimerFired{}))
+		to.now = from.now.Add(transit)
+		for _, e := range sent {
+			if status, isStatus := e.Message.(*dtdispatch.PeerStatus); isStatus {
+				to.step(dtdispatch.PeerMessageReceived{Message: status})
+			}
+		}
+	}
+	const margin = 300 * time.Millisecond
+	g.Expect(a.state.Roster.ListedAt).To(BeTemporally("<", listedAt.Add(margin)))
+	g.Expect(a.state.OperatorKeys.ConfirmedAt).To(BeTemporally("<", confirmedAt.Add(margin)))
+}
