--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -21,6 +21,9 @@
 	// Time for which statuses of an earlier incarnation are ignored. It is bounded because a
 	// router may restart with its clock set back.
 	staleStatusPeriod = 3 * time.Second
+	// What a peer has said of the age of its knowledge counts only if this router's gets younger by more than messages are under
+	// way: they would make it younger from router to router although nobody reads the store.
+	minAgeGain = 100 * time.Millisecond
 	// Least number of routers assumed to share the budgets until a list of them has been read.
 	defaultRouterCount = 8
 )
@@ -188,6 +191,7 @@
 		s.StreamVersions.RecordedMixes = reply.Mixes
 	}
 	listedAt := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
+	s.Roster.observeOutage(listedAt, s.outageThreshold(), now)
 	added, removed := s.Roster.Update(s.validServers(reply.Servers), reply.Revision, listedAt, now)
 	s.handleRosterChange(added, removed, now)
 }
@@ -251,19 +255,14 @@
 	s.emit(LogRecord{Event: "router_clock", Subject: status.From, Elapsed: ahead})
 }
 
-func (s *State) updatePeerLoads(status *PeerStatus, now time.Time) {
-	for id, server := range s.Roster.Servers {
-		if n := status.InFlight[server.Ref()]; n > 0 || s.Loads[id] != nil {
-			s.serverLoad(id).SetPeerCount(status.From, n, now)
-		}
-	}
-}
-
 // syncWithPeer confirms this router's server list if the peer has the same one, and requests the
 // peer's list if it is newer. It ends the grace period if the peer could reach the store throughout.
 func (s *State) syncWithPeer(status *PeerStatus, now time.Time) {
 	p := &s.Peers
 	listedAt := now.Add(-time.Duration(status.RosterAgeMs)*time.Millisecond - p.ByName[status.From].LateBy)
+	if status.RosterHash == s.Roster.Hash {
+		s.Roster.observeOutage(listedAt, s.outageThreshold(), now)
+	}
 	if status.IsRosterStable && status.RosterRevision.Era() == s.StoreEra {
 		s.Roster.GraceEndsAt = time.Time{} // The store was reachable throughout, so a server missing from the list is gone.
 	}
@@ -271,7 +270,7 @@
 		return // The peer knows as little as this router: two that start together must not take their empty lists for read.
 	}
 	if status.RosterHash == s.Roster.Hash {
-		s.Roster.Confirm(listedAt, status.RosterRevision, now)
+		s.Roster.ConfirmByPeer(listedAt, status.RosterRevision, now)
 		return
 	}
 	if isFirstReadUnderWay(&s.ServerListPolling.Polling, !s.Roster.ListedAt.IsZero(), now) {
--- a/core/dtdispatch/roster.go
+++ b/core/dtdispatch/roster.go
@@ -48,9 +48,7 @@
 	if revision < r.Revision {
 		return nil, nil
 	}
-	if !r.ListedAt.IsZero() && now.Sub(r.ListedAt) > outageThreshold {
-		r.beginGracePeriod(now)
-	}
+	r.observeOutage(now, outageThreshold, now)
 	listed := len(list)
 	list = r.withoutDeparted(list, revision.Era(), now)
 	present := len(list)
@@ -69,6 +67,13 @@
 	r.CopiesLapseAt = now.Add(copyHeartbeats * heartbeat)
 }
 
+// observeOutage begins the grace period if the list is current as of listedAt, by whomever it was read, after it has been too old.
+func (r *Roster) observeOutage(listedAt time.Time, threshold time.Duration, now time.Time) {
+	if !r.ListedAt.IsZero() && listedAt.Sub(r.ListedAt) > threshold {
+		r.beginGracePeriod(now)
+	}
+}
+
 func (r *Roster) beginGracePeriod(now time.Time) {
 	r.GraceEndsAt = now.Add(outageGracePeriod)
 	r.ListedSinceOutage = map[ServerID]bool{}
@@ -151,6 +156,14 @@
 	}
 }
 
+// ConfirmByPeer is like Confirm for what a peer has said of its own list, which is the same.
+func (r *Roster) ConfirmByPeer(listedAt time.Time, revision Revision, now time.Time) {
+	if listedAt.Sub(r.ListedAt) < minAgeGain {
+		listedAt = r.ListedAt
+	}
+	r.Confirm(listedAt, revision, now)
+}
+
 // firstListedAt returns the time when the incarnation of a server was first listed. One of the first list has been up for
 // an unknown time, which is short if it is cold.
 func (r *Roster) firstListedAt(server *Server, now time.Time) time.Time {
