dtdispatch: a router that has known one mix does not notice that another has come into force beside its list

What callers saw: streams that began at servers of a domain that was back in service went on at another version, at a router that was cut off from the others and whose watch of the operators' keys was silent, while its list of servers was on time. Cause: with one mix ever and a list that is confirmed, the record is not read; but the mix follows from the domains out of service and from roll-outs, too. Evidence: TestDomainBackInServiceUnnoticedMixesVersions, 'stream-2 at r3' at v1 instead of v2 before, passes now. Why it works: the record, which shows the other mix, is read for streams that may have begun while servers were listed of a version that had no part in the mix. Without such servers there is no other mix, and the store is not called, as before.

--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -193,3 +193,28 @@
 		})
 	}
 }
+
+// TestDomainBackInServiceUnnoticedMixesVersions guards against streams that go on at another version at a router that follows the list of
+// servers, but not which domains are out of service: it has known one version only, and did not read the record.
+func TestDomainBackInServiceUnnoticedMixesVersions(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.operators.outOfService = []string{"d1"}
+	f.operators.revision++
+	f.run(3*time.Second, names...)
+	f.setVersions("v1", "v2", "v1", "v2") // Those of v2 are in d1.
+	f.run(3*time.Second, names...)
+	f.begin(1)
+	f.takeUpAt(names...) // They have read the record before.
+	f.begun, f.names = nil, []string{"r1", "r2"}
+	f.isolated = map[string]bool{"r3": true}
+	f.operators.outOfService = nil
+	f.operators.revision++
+	f.operators.readRevision["r3"] = f.operators.revision // Its call gets no response.
+	f.run(5*time.Second, names...)
+	f.begin(40)
+	f.Expect(f.begun).To(ContainElement(Satisfy(func(stream begunStream) bool { return stream.version == "v2" })))
+	f.run(3*time.Second, names...)
+	f.takeUpAt("r3") // It fails if one goes on at another version.
+	f.run(time.Second, names...)
+}
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -78,7 +78,7 @@
 	switch {
 	case v.LoadedAt.IsZero():
 		return false
-	case len(history.Mixes) == 1 && len(history.Weights()) == 1 && !s.listConfirmedAt().Before(latest) && earliest.After(v.NotFollowedUntil):
+	case history.isOnlyMix(earliest) && !s.listConfirmedAt().Before(latest) && earliest.After(v.NotFollowedUntil):
 		return true
 	case now.Before(v.Reading.RetryTime(maxRecordRetryDelay)):
 		return true
--- a/core/dtdispatch/streamversion.go
+++ b/core/dtdispatch/streamversion.go
@@ -185,6 +185,7 @@
 			v.MixWrite.markDue(now.Add(versionStartupDelay)) // What the record has may differ.
 		}
 		history := v.history(service, now)
+		history.observeListed(s.Roster.ByService[service], weights, now)
 		if maps.Equal(weights, history.Weights()) {
 			continue
 		}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -78,6 +78,8 @@
 	FollowedSince time.Time    // This router has applied the mixes from then on itself; for the log.
 	Mixes         []VersionMix // In the order of their times.
 	Gaps          []MixGap     // In which further mixes may have been in force.
+	WithheldUntil time.Time    // Servers of a version that was in no mix were listed until then.
+	IsWithheld    bool         // They are listed now.
 }
 
 // MixGap is a time in which a router has not followed the list of servers, before the mix as of its end.
@@ -107,6 +109,21 @@
 	h.trim(now)
 }
 
+// observeListed notes whether the list has servers of a version without a part in the mix: what others know of domains out of service
+// and of roll-outs, by which they may give it one, may be newer than what this router knows.
+func (h *VersionHistory) observeListed(servers []*Server, weights map[string]int, now time.Time) {
+	isWithheld := slices.ContainsFunc(servers, func(server *Server) bool { return weights[server.Version] == 0 })
+	if h.IsWithheld && !isWithheld {
+		h.WithheldUntil = now
+	}
+	h.IsWithheld = isWithheld
+}
+
+// isOnlyMix reports whether no other mix than the present one may have been in force since a time, as long as the list was followed.
+func (h *VersionHistory) isOnlyMix(since time.Time) bool {
+	return len(h.Mixes) == 1 && len(h.Weights()) == 1 && !h.IsWithheld && since.After(h.WithheldUntil)
+}
+
 // addGap records that the router has not followed the list between two times, and reports whether that is new.
 func (h *VersionHistory) addGap(from, to time.Time) bool {
 	if n := len(h.Gaps); n > 0 && h.Gaps[n-1].From.Equal(from) {
