dtdispatch: streams of the only version are refused while the store is away and a listed router is dead

What callers saw: streams that began while the store was away were refused where they were taken up, for as long as a router was dead that the store still listed, though there was one version. Cause: since all listed routers must say that they have the same list; the dead one can't, and is listed until the store is back. Why it works: routers that can neither read the list nor hear all others list the streams that they begin, without holding them, and tell each other of them as of others that are uncertain; what is listed by its ID needs no list of servers. Streams beyond maxSpareExceptions are refused as before.

--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
 // TestStreamsGoOnBesideARouterThatIsGone guards against refusals for as long as a router that has been killed may yet be one that is cut
@@ -78,3 +80,34 @@
 	f.restart(t, "r1")
 	f.takeUpAt("r1") // It fails if one goes on at another version.
 }
+
+// TestStreamsGoOnBesideADeadRouterWhileTheStoreIsAway guards against streams of the only version that are refused for as long as the store
+// is away, since a router that is dead is still listed, and may have another list for all that the others know.
+func TestStreamsGoOnBesideADeadRouterWhileTheStoreIsAway(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.areOpen = true
+	f.begin(3)
+	f.takeUpAt(names...) // They have read the record before.
+	f.store, f.begun, f.names = nil, nil, []string{"r1", "r2"}
+	f.run(time.Second, names...)
+	f.begin(20)
+	f.down["r3"] = true
+	f.run(3*time.Second, names...)
+	goOn := 0
+	f.onSend = func(name string, send *dtdispatch.SendRequest) {
+		f.checkVersion(name, send)
+		if f.routers[name].state.Requests[send.Number].ResumeAfter != "" {
+			goOn++
+		}
+	}
+	const rounds = 20
+	for range rounds {
+		f.takeUp()
+		f.run(300*time.Millisecond, names...)
+		f.begun = nil
+		f.begin(20)
+		f.run(time.Second, names...)
+	}
+	f.Expect(goOn).To(Equal(20 * rounds))
+}
--- a/core/dtdispatch/streamplace.go
+++ b/core/dtdispatch/streamplace.go
@@ -25,7 +25,7 @@
 	if s.StreamVersions.RecordedMixes == nil && !s.awaitRecord(r, now) {
 		return nil
 	}
-	if s.StreamVersions.isOfOnlyVersion(history, r) {
+	if s.StreamVersions.isOfOnlyVersion(history, r) && !s.isListUnconfirmed(now) {
 		return servers
 	}
 	version, group := s.versionOfStream(r, servers, regular, current, now)
@@ -74,7 +74,7 @@
 	isRegular := !isException && isInRecord && (len(history.Mixes) == 1 || s.followsList(now)) && history.isVersionSince(r.StreamTime.Add(-recordedSkew), r, version)
 	delay, isSpare := exceptionDelay, false
 	if isRegular && history.isVersionSince(later(r.StreamTime.Add(-maxTransit-s.maxFollowedAge()-recordedSkew), history.KnownSince), r, version) {
-		isSpare = s.isUncertainElsewhere(r, history, version) && s.mayAddSpare(now)
+		isSpare = s.isUncertainElsewhere(r, history, version, now) && s.mayAddSpare(now)
 		if !isSpare {
 			return
 		}
@@ -133,7 +133,7 @@
 		r := s.Requests[number]
 		isNew := r.Service == service && r.keepsVersion() && r.ResumeAfter == "" && r.Attempt > 0
 		isRecent := since.Sub(r.StreamTime) <= s.maxFollowedAge()+recordedSkew
-		if isNew && (isRecent || s.isUncertainElsewhere(r, history, r.begunVersion())) {
+		if isNew && (isRecent || s.isUncertainElsewhere(r, history, r.begunVersion(), now)) {
 			s.recordVersion(r, history, r.begunVersion(), now)
 		}
 	}
@@ -141,8 +141,14 @@
 
 // isUncertainElsewhere reports whether other routers may take a new stream that is not listed for one that began at a router which does
 // not know the present mix, or no versions at all.
-func (s *State) isUncertainElsewhere(r *Request, history *VersionHistory, version string) bool {
-	return s.mayCountAsUnrecorded(r) || s.mayCountAsLateListed(r, history, version)
+func (s *State) isUncertainElsewhere(r *Request, history *VersionHistory, version string, now time.Time) bool {
+	return s.mayCountAsUnrecorded(r) || s.mayCountAsLateListed(r, history, version) || s.isListUnconfirmed(now)
+}
+
+// isListUnconfirmed reports whether this router can neither read the list of servers nor hears from all others that they share it, so
+// that none of them can be certain that no other list is in use.
+func (s *State) isListUnconfirmed(now time.Time) bool {
+	return s.ServerListPolling.Failures > 0 && s.sharedAsOf(now).IsZero()
 }
 
 // begunVersion returns the version that has begun a new stream or, before its first event, the one of the server that
--- a/core/dtdispatch/unrecorded.go
+++ b/core/dtdispatch/unrecorded.go
@@ -72,11 +72,11 @@
 	}
 }
 
-// listStreamsUnderWay lists the streams of this router that began before streams may be unrecorded.
+// listStreamsUnderWay lists the streams of this router that began before others could be uncertain of their versions.
 func (s *State) listStreamsUnderWay(now time.Time) {
 	v := &s.StreamVersions
 	for _, service := range sortedKeys(v.ByService) {
-		if history := v.ByService[service]; len(history.Mixes) > 1 || len(history.Weights()) > 1 {
+		if history := v.ByService[service]; len(history.Mixes) > 1 || len(history.Weights()) > 1 || s.isListUnconfirmed(now) {
 			s.recordRecentVersions(service, history, time.Time{}, now)
 		}
 	}
