dtdispatch: an empty record after the store has lost its data closes a gap

What callers saw: streams that began at a new version went on at the old one, at a router that was out of step while that version came and went, and came back as the store had lost its data. Cause: closes a gap by the only version listed if there is no record, whether or not there has been one. Why it works: a router that has read a mix of the service takes an empty record for a lost one, and the gap stays until others have written what they know.

--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -218,3 +218,26 @@
 	f.takeUpAt("r3") // It fails if one goes on at another version.
 	f.run(time.Second, names...)
 }
+
+// TestLostRecordDoesNotCloseAGap guards against streams that go on at another version at a router that was out of step while that version
+// came and went, since the store has lost its data: an empty record is not one without a change.
+func TestLostRecordDoesNotCloseAGap(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.begin(1)
+	f.takeUpAt("r3") // It has read the record before.
+	f.begun, f.names = nil, []string{"r1", "r2"}
+	f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+	f.setVersions("v1", "v2", "v2", "v2")
+	f.run(4500*time.Millisecond, names...)
+	f.begin(20)
+	f.run(2200*time.Millisecond, names...)
+	f.setVersions("v1", "v1", "v1", "v1")
+	f.run(600*time.Millisecond, names...)
+	f.isolated, f.rejected = nil, nil
+	f.record, f.exceptions = nil, map[string]map[string]dtdispatch.StreamException{}
+	f.goBack(10)
+	f.run(50*time.Millisecond, "r3", "r1", "r2")
+	f.takeUpAt("r3") // It fails if one goes on at another version.
+	f.run(2*time.Second, names...)
+}
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -78,6 +78,7 @@
 	FollowedSince time.Time    // This router has applied the mixes from then on itself; for the log.
 	Mixes         []VersionMix // In the order of their times.
 	Gaps          []MixGap     // In which further mixes may have been in force.
+	WasRecorded   bool         // The store has had a mix of the service.
 	WithheldUntil time.Time    // Servers of a version that was in no mix were listed until then.
 	IsWithheld    bool         // They are listed now.
 }
@@ -139,6 +140,7 @@
 // the mix as of their end, or if neither has changed. What has begun under a mix that is not recorded is listed by its ID, as is what
 // begins within recordedSkew of a change: a read that began earlier than that before the end of a gap says nothing of the rest of it.
 func (h *VersionHistory) fillGaps(recorded *VersionHistory, readAt time.Time) {
+	h.WasRecorded = h.WasRecorded || len(recorded.Mixes) > 0
 	h.Gaps = slices.DeleteFunc(h.Gaps, func(gap MixGap) bool {
 		if gap.To.After(readAt.Add(recordedSkew)) || recorded.KnownSince.After(gap.From) || recorded.hasGapBetween(gap.From, gap.To) {
 			return false
@@ -170,14 +172,14 @@
 }
 
 // isUnchanged reports whether the mix before a gap and after it is the one that is recorded for all of it, or the only one ever if
-// nothing has been recorded.
+// nothing has ever been recorded.
 func (h *VersionHistory) isUnchanged(recorded *VersionHistory, gap MixGap) bool {
 	hasChanged := func(mix VersionMix) bool { return mix.latest().After(gap.From) && !mix.earliest().After(gap.To) }
 	switch {
 	case len(h.Mixes) == 0 || slices.ContainsFunc(h.Mixes, hasChanged):
 		return false
 	case len(recorded.Mixes) == 0:
-		return len(h.Mixes) == 1
+		return len(h.Mixes) == 1 && !h.WasRecorded
 	case slices.ContainsFunc(recorded.Mixes[1:], hasChanged):
 		return false
 	}
