dtdispatch, KNOWN-RED: streams of routers that are cut off in a large fleet, or for over 30 s, go on at another version

Cause: goes by the statuses that a router gets, which in a large fleet are those of the routers that it is linked to, and forgets a router that was neither listed nor heard of for 30 s. Without it they play what holds: routers with a link, and 20 s. Not mended: the first needs a message of the delegates about late lists, the second makes streams beside dead routers uncertain for longer.

--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -111,3 +111,60 @@
 	}
 	f.Expect(goOn).To(Equal(20 * rounds))
 }
+
+// TestRouterCutOffForLongCountsAsGone guards against streams that go on at another version than that at which a router has begun them that
+// has been cut off for so long that the others have forgotten it.
+func TestRouterCutOffForLongCountsAsGone(t *testing.T) {
+	leads := []time.Duration{20 * time.Second}
+	if *knownRedFlag {
+		leads = append(leads, 32*time.Second, time.Minute)
+	}
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for _, lead := range leads {
+		t.Run(lead.String(), func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt(names...) // They have read the record before.
+			f.begun = nil
+			f.isolated, f.rejected, f.unlisted = map[string]bool{"r3": true}, map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			f.run(lead, names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(4*time.Second, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.takeUpAt(others...) // It fails if one goes on at another version.
+		})
+	}
+}
+
+// TestStreamsOfALargeFleetBegunAtARouterThatIsCutOffAreMixed guards against the same in a fleet in which a router is linked to few others:
+// those without a link to the one that is cut off do not know that its list is old.
+func TestStreamsOfALargeFleetBegunAtARouterThatIsCutOffAreMixed(t *testing.T) {
+	takers := []string{"r002", "r044"} // Linked to it.
+	if *knownRedFlag {
+		takers = append(takers, "r005", "r010", "r045", "r046")
+	}
+	const cutOff = "r047"
+	large, names := newLargeFleet(t, 48)
+	f := &streams{fleet: large, WithT: NewWithT(t), names: names, waits: callerTimeout, held: map[string]begunStream{}}
+	f.onSend = f.checkVersion
+	f.onForward = func(name string, n dtdispatch.RequestNumber) { f.endUnlessOpen(name, n) }
+	f.setVersions("", "", "", "")
+	f.run(6*time.Second, names...)
+	f.begin(len(names))
+	f.run(time.Second, names...)
+	f.takeUpAt(names...) // They have read the record before.
+	f.run(time.Second, names...)
+	f.begun, f.names = nil, []string{cutOff}
+	f.isolated, f.rejected = map[string]bool{cutOff: true}, map[string]bool{cutOff: true}
+	f.run(time.Second, names...)
+	f.setVersions("", "v2", "v2", "v2")
+	f.run(4*time.Second, names...)
+	f.begin(20)
+	f.Expect(f.begun).To(HaveLen(20))
+	f.run(300*time.Millisecond, names...)
+	for _, taker := range takers {
+		f.takeUpAt(taker) // It fails if one goes on at another version.
+	}
+}
