dtdispatch: a request that waits for an early read of the record overflows the stack

What callers saw: nothing yet; a router would crash. Cause: since a due request is also released while the record may not be read; a read that a new stream has begun within 50 ms of the last one, after the store was restored, was not told apart from that, so that a request which came to wait for it was released, held and released again. Why it works: while a read is in progress its end releases the requests, and nothing else does.

--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -192,7 +192,7 @@
 func (s *State) readRecordIfDue(now time.Time) {
 	v := &s.StreamVersions
 	switch {
-	case len(v.Held) == 0 || now.Before(v.nextRecordReadAt()):
+	case len(v.Held) == 0 || v.Reading.InProgress || now.Before(v.nextRecordReadAt()):
 	case now.Before(v.retryReadAt()):
 		s.releaseHeldResumes(now)
 	default:
--- a/core/dtdispatch/streamversion_test.go
+++ b/core/dtdispatch/streamversion_test.go
@@ -371,6 +371,23 @@
 	r.onlySend()
 }
 
+// TestRequestBesideAnEarlyReadOfTheRecordOverflowsTheStack guards against a router that crashes: a request that waited for a read which a new
+// stream had begun right after the last one, as the store had been restored, was released and held again without an end.
+func TestRequestBesideAnEarlyReadOfTheRecordOverflowsTheStack(t *testing.T) {
+	r := newRouterWithVersions(t, "v1", "v2")
+	r.step(dtdispatch.StoreEraRead{Era: 4})
+	r.sendRequest("/stream/x", resuming("first"))
+	r.step(recordOfTwoVersions())
+	r.step(dtdispatch.StoreEraRead{Era: 5})
+	r.now = r.now.Add(10 * time.Millisecond)
+	r.sendRequest("/stream/x")
+	r.Expect(effectsOf[dtdispatch.ReadVersionRecord](r.effects)).To(HaveLen(1))
+	r.sendRequest("/stream/x", resuming("second"))
+	r.Expect(r.state.StreamVersions.Held).To(HaveLen(1))
+	r.step(recordOfTwoVersions())
+	r.Expect(r.state.StreamVersions.Held).To(BeEmpty())
+}
+
 // TestStreamOfAVersionWithoutUsableServersBeginsElsewhere has new streams begin at another version while the
 // servers of theirs can't be used, and taken up when these are back, also after all routers were killed.
 func TestStreamOfAVersionWithoutUsableServersBeginsElsewhere(t *testing.T) {
