dtdispatch: a router that stands still a few times forgets which lists were late

What callers saw: nothing yet; streams that a router began while it was cut off would go on at another version. Cause: of the times in which lists were late 64 are remembered, and the oldest was dropped for another; a router that stands still notes one for each that it hears from, 29 in a fleet of 30. Evidence: TestStandstillsForgetListsThatWereLate fails before, passes now. Why it works: the two oldest become one that covers both, which at worst makes more streams uncertain.

--- a/core/dtdispatch/latelist.go
+++ b/core/dtdispatch/latelist.go
@@ -88,14 +88,21 @@
 	return ages
 }
 
+// addListLag adds a time to the others. If there are too many, the two oldest become one.
 func (v *StreamVersions) addListLag(lag ListLag, now time.Time) {
 	v.ListLags = slices.DeleteFunc(v.ListLags, func(old ListLag) bool { return now.Sub(old.To) > maxStreamAge })
 	if len(v.ListLags) >= maxListLags {
+		v.ListLags[1] = v.ListLags[1].with(v.ListLags[0])
 		v.ListLags = slices.Delete(v.ListLags, 0, 1)
 	}
 	v.ListLags = append(v.ListLags, lag)
 }
 
+// with returns the time from the start of the earlier to the end of the later of two.
+func (l ListLag) with(other ListLag) ListLag {
+	return ListLag{From: earlier(l.From, other.From), To: later(l.To, other.To)}
+}
+
 // listsCurrentAsOf returns the time since when the lists are by which a stream may have begun whose time is between from and to, if
 // it lies before from.
 func (s *State) listsCurrentAsOf(from, to time.Time) time.Time {
--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -1,6 +1,7 @@
 package dtdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -168,3 +169,22 @@
 		f.takeUpAt(taker) // It fails if one goes on at another version.
 	}
 }
+
+// TestStandstillsForgetListsThatWereLate guards against streams that go on at another version since a router has stood still a few times:
+// each counted as a time in which the lists of all others were late, of which only some are remembered.
+func TestStandstillsForgetListsThatWereLate(t *testing.T) {
+	names := []string{}
+	for i := range 30 {
+		names = append(names, fmt.Sprintf("r%02d", i))
+	}
+	f := newStreams(t, names...)
+	others, first := names[1:], f.routers["r00"].now
+	for range 4 {
+		f.down["r00"] = true
+		f.run(2*time.Second, others...)
+		f.down["r00"] = false
+		f.routers["r00"].now = f.routers["r01"].now
+		f.run(2*time.Second, names...)
+	}
+	f.Expect(f.routers["r00"].state.StreamVersions.ListLags).To(ContainElement(HaveField("From", BeTemporally("<=", first))))
+}
