dtdispatch, KNOWN-RED: a router that is cut off with the last servers of a version begins streams that go on at the next

Cause: leaves out versions that have had no listed server for 10 s, which a router that is cut off with them still reaches. Evidence: the case of 16 s fails with -known.red, 'stream-2 at r1' at v2 instead of v1; those of 4 and 12 s pass. Not mended: a longer time has all streams beside a dead router listed for as long after each release.

--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -188,3 +188,29 @@
 	}
 	f.Expect(f.routers["r00"].state.StreamVersions.ListLags).To(ContainElement(HaveField("From", BeTemporally("<=", first))))
 }
+
+// TestRouterCutOffWithServersOfAReplacedVersionIsMixed guards against the same where all servers of the former version are gone from the
+// list, since they are cut off together with the router, which begins streams there.
+func TestRouterCutOffWithServersOfAReplacedVersionIsMixed(t *testing.T) {
+	waits := []time.Duration{4 * time.Second, 12 * time.Second}
+	if *knownRedFlag {
+		waits = append(waits, 16*time.Second)
+	}
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for _, wait := range waits {
+		t.Run(wait.String(), func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt(names...) // They have read the record before.
+			f.begun = nil
+			f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			f.run(time.Second, names...)
+			f.setVersions("v2", "v2", "v2")
+			f.run(wait, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.takeUpAt(others...) // It fails if one goes on at another version.
+		})
+	}
+}
