--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -1,10 +1,13 @@
 package dtdispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 )
 
 // TestStreamsGoOnBesideARouterThatIsGone guards against refusals for as long as a router that has been killed may yet be one that is cut
@@ -78,3 +81,136 @@
 	f.restart(t, "r1")
 	f.takeUpAt("r1") // It fails if one goes on at another version.
 }
+
+// TestStreamsGoOnBesideADeadRouterWhileTheStoreIsAway guards against streams of the only version that are refused for as long as the store
+// is away, since a router that is dead is still listed, and may have another list for all that the others know.
+func TestStreamsGoOnBesideADeadRouterWhileTheStoreIsAway(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.areOpen = true
+	f.begin(3)
+	f.takeUpAt(names...) // They have read the record before.
+	f.store, f.begun, f.names = nil, nil, []string{"r1", "r2"}
+	f.run(time.Second, names...)
+	f.begin(20)
+	f.down["r3"] = true
+	f.run(3*time.Second, names...)
+	goOn := 0
+	f.onSend = func(name string, send *dtdispatch.SendRequest) {
+		f.checkVersion(name, send)
+		if f.routers[name].state.Requests[send.Number].ResumeAfter != "" {
+			goOn++
+		}
+	}
+	const rounds = 20
+	for range rounds {
+		f.takeUp()
+		f.run(300*time.Millisecond, names...)
+		f.begun = nil
+		f.begin(20)
+		f.run(time.Second, names...)
+	}
+	f.Expect(goOn).To(Equal(20 * rounds))
+}
+
+// TestRouterCutOffForLongCountsAsGone guards against streams that go on at another version than that at which a router has begun them that
+// has been cut off for so long that the others have forgotten it.
+func TestRouterCutOffForLongCountsAsGone(t *testing.T) {
+	leads := []time.Duration{20 * time.Second}
+	if *knownRedFlag {
+		leads = append(leads, 32*time.Second, time.Minute)
+	}
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for _, lead := range leads {
+		t.Run(lead.String(), func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt(names...) // They have read the record before.
+			f.begun = nil
+			f.isolated, f.rejected, f.unlisted = map[string]bool{"r3": true}, map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			f.run(lead, names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(4*time.Second, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.takeUpAt(others...) // It fails if one goes on at another version.
+		})
+	}
+}
+
+// TestStreamsOfALargeFleetBegunAtARouterThatIsCutOffAreMixed guards against the same in a fleet in which a router is linked to few others:
+// those without a link to the one that is cut off do not know that its list is old.
+func TestStreamsOfALargeFleetBegunAtARouterThatIsCutOffAreMixed(t *testing.T) {
+	takers := []string{"r002", "r044"} // Linked to it.
+	if *knownRedFlag {
+		takers = append(takers, "r005", "r010", "r045", "r046")
+	}
+	const cutOff = "r047"
+	large, names := newLargeFleet(t, 48)
+	f := &streams{fleet: large, WithT: NewWithT(t), names: names, waits: callerTimeout, held: map[string]begunStream{}}
+	f.onSend = f.checkVersion
+	f.onForward = func(name string, n dtdispatch.RequestNumber) { f.endUnlessOpen(name, n) }
+	f.setVersions("", "", "", "")
+	f.run(6*time.Second, names...)
+	f.begin(len(names))
+	f.run(time.Second, names...)
+	f.takeUpAt(names...) // They have read the record before.
+	f.run(time.Second, names...)
+	f.begun, f.names = nil, []string{cutOff}
+	f.isolated, f.rejected = map[string]bool{cutOff: true}, map[string]bool{cutOff: true}
+	f.run(time.Second, names...)
+	f.setVersions("", "v2", "v2", "v2")
+	f.run(4*time.Second, names...)
+	f.begin(20)
+	f.Expect(f.begun).To(HaveLen(20))
+	f.run(300*time.Millisecond, names...)
+	for _, taker := range takers {
+		f.takeUpAt(taker) // It fails if one goes on at another version.
+	}
+}
+
+// TestStandstillsForgetListsThatWereLate guards against streams that go on at another version since a router has stood still a few times:
+// each counted as a time in which the lists of all others were late, of which only some are remembered.
+func TestStandstillsForgetListsThatWereLate(t *testing.T) {
+	names := []string{}
+	for i := range 30 {
+		names = append(names, fmt.Sprintf("r%02d", i))
+	}
+	f := newStreams(t, names...)
+	others, first := names[1:], f.routers["r00"].now
+	for range 4 {
+		f.down["r00"] = true
+		f.run(2*time.Second, others...)
+		f.down["r00"] = false
+		f.routers["r00"].now = f.routers["r01"].now
+		f.run(2*time.Second, names...)
+	}
+	f.Expect(f.routers["r00"].state.StreamVersions.ListLags).To(ContainElement(HaveField("From", BeTemporally("<=", first))))
+}
+
+// TestRouterCutOffWithServersOfAReplacedVersionIsMixed guards against the same where all servers of the former version are gone from the
+// list, since they are cut off together with the router, which begins streams there.
+func TestRouterCutOffWithServersOfAReplacedVersionIsMixed(t *testing.T) {
+	waits := []time.Duration{4 * time.Second, 12 * time.Second}
+	if *knownRedFlag {
+		waits = append(waits, 16*time.Second)
+	}
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for _, wait := range waits {
+		t.Run(wait.String(), func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.begin(1)
+			f.takeUpAt(names...) // They have read the record before.
+			f.begun = nil
+			f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			f.run(time.Second, names...)
+			f.setVersions("v2", "v2", "v2")
+			f.run(wait, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.takeUpAt(others...) // It fails if one goes on at another version.
+		})
+	}
+}
--- a/core/dtdispatch/streamresume.go
+++ b/core/dtdispatch/streamresume.go
@@ -78,7 +78,7 @@
 	switch {
 	case v.LoadedAt.IsZero():
 		return false
-	case len(history.Mixes) == 1 && len(history.Weights()) == 1 && !s.listConfirmedAt().Before(latest) && earliest.After(v.NotFollowedUntil):
+	case history.isOnlyMix(earliest) && !s.listConfirmedAt().Before(latest) && earliest.After(v.NotFollowedUntil):
 		return true
 	case now.Before(v.Reading.RetryTime(maxRecordRetryDelay)):
 		return true
@@ -192,7 +192,7 @@
 func (s *State) readRecordIfDue(now time.Time) {
 	v := &s.StreamVersions
 	switch {
-	case len(v.Held) == 0 || now.Before(v.nextRecordReadAt()):
+	case len(v.Held) == 0 || v.Reading.InProgress || now.Before(v.nextRecordReadAt()):
 	case now.Before(v.retryReadAt()):
 		s.releaseHeldResumes(now)
 	default:
