--- a/core/dtdispatch/peer.go
+++ b/core/dtdispatch/peer.go
@@ -101,7 +101,8 @@
 	NextStatusAt       time.Time
 	StatusSentAt       time.Time
 	ClockSentAt        time.Time               // Time of the last status that named it.
-	ConfigRequestedAt  time.Time               // Time of the last SyncRequest for the configuration.
+	ConfigRequest      ConfigRequest           // The last one.
+	RejectedConfigs    map[string]int64        // By router: version that it has named, whose configuration was rejected.
 	RosterRequestedAt  time.Time               // Time of the last SyncRequest for the server list.
 	RosterSentAt       time.Time               // Time of the last RosterReply to any peer.
 	CrashCursor        NewsCursor              // Crash reports sent.
@@ -133,6 +134,7 @@
 	SettledAhead      time.Duration // By how much its clock is ahead, less the usual transit of a status.
 	Unreachable       []string      // Services that it can't connect to, as of its last status.
 	LateBy            time.Duration // By how much longer than usual its last status was under way.
+	ListCurrentAt     time.Time     // As of when its list of servers was last known to be the one in use.
 	Features          FeatureSet    // As of its last status.
 	ListsLackVersions bool          // This incarnation's lists of servers don't say which software versions these have.
 	ServesSince       time.Time     // When it was first heard to list servers, by this incarnation of it.
@@ -151,7 +153,7 @@
 	case *SyncRequest:
 		s.handleSyncRequest(m, now)
 	case *ConfigReply:
-		s.emit(DecodeConfig{Source: m.Source})
+		s.emit(DecodeConfig{Source: m.Source, From: from})
 	case *RosterReply:
 		s.observeEra(m.Revision.Era(), now)
 		if !s.lacksVersions(from, m.Servers, now) {
@@ -208,6 +210,7 @@
 	}
 	s.observeRecorder(&peer, &previous, status, now)
 	s.observeClock(&peer, status, now)
+	s.observeList(&peer, &previous, status, now)
 	p.ByName[status.From] = peer
 	if s.hashesNoVersions(status) {
 		s.noteListWithoutVersions(status.From, now)
@@ -328,6 +331,7 @@
 		return
 	}
 	p.NextStatusAt = now.Add(s.statusInterval(now))
+	s.listStreamsBesideLateLists(now)
 	status := s.peerStatus(now)
 	status.Crashes = s.crashNews(&p.CrashCursor, true, now)
 	status.Rates = s.rateReports(&p.RateCursor, true, now)
--- a/core/dtdispatch/versionmix.go
+++ b/core/dtdispatch/versionmix.go
@@ -114,14 +114,16 @@
 		return false
 	}
 	h.Gaps = append(h.Gaps, MixGap{From: from, To: to})
+	h.trim(to)
 	return true
 }
 
 // fillGaps adds the mixes of the gaps from a history that another router has recorded, which knows them if it has
-// the mix as of their end, or if neither has changed. What has begun under a mix that is not recorded is listed by its ID.
-func (h *VersionHistory) fillGaps(recorded *VersionHistory) {
+// the mix as of their end, or if neither has changed. What has begun under a mix that is not recorded is listed by its ID, as is what
+// begins within recordedSkew of a change: a read that began earlier than that before the end of a gap says nothing of the rest of it.
+func (h *VersionHistory) fillGaps(recorded *VersionHistory, readAt time.Time) {
 	h.Gaps = slices.DeleteFunc(h.Gaps, func(gap MixGap) bool {
-		if recorded.KnownSince.After(gap.From) || recorded.hasGapBetween(gap.From, gap.To) {
+		if gap.To.After(readAt.Add(recordedSkew)) || recorded.KnownSince.After(gap.From) || recorded.hasGapBetween(gap.From, gap.To) {
 			return false
 		}
 		mixes, isWhole := recorded.mixesOf(gap, h.WeightsAt(gap.To))
@@ -150,10 +152,16 @@
 	return mixes, isWhole
 }
 
-// isUnchanged reports whether the mix before a gap and after it is the one that is recorded for all of it.
+// isUnchanged reports whether the mix before a gap and after it is the one that is recorded for all of it, or the only one ever if
+// nothing has been recorded.
 func (h *VersionHistory) isUnchanged(recorded *VersionHistory, gap MixGap) bool {
 	hasChanged := func(mix VersionMix) bool { return mix.latest().After(gap.From) && !mix.earliest().After(gap.To) }
-	if len(recorded.Mixes) == 0 || len(h.Mixes) == 0 || slices.ContainsFunc(h.Mixes, hasChanged) || slices.ContainsFunc(recorded.Mixes[1:], hasChanged) {
+	switch {
+	case len(h.Mixes) == 0 || slices.ContainsFunc(h.Mixes, hasChanged):
+		return false
+	case len(recorded.Mixes) == 0:
+		return len(h.Mixes) == 1
+	case slices.ContainsFunc(recorded.Mixes[1:], hasChanged):
 		return false
 	}
 	return maps.Equal(h.WeightsAt(gap.To), recorded.WeightsAt(gap.To))
@@ -279,6 +287,13 @@
 	return mixes
 }
 
+// mayApply reports whether the mix with an index may have been in force between two times.
+func (h *VersionHistory) mayApply(i int, from, to time.Time) bool {
+	hasBegun := i == 0 || !h.Mixes[i].earliest().After(to)
+	hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
+	return hasBegun && !hasEnded
+}
+
 // VersionBetween returns the version of a stream whose time is between from and to, and whether that is
 // certain.
 func (h *VersionHistory) VersionBetween(streamID string, from, to time.Time) (version string, isCertain bool) {
@@ -295,9 +310,7 @@
 	}
 	found := false
 	for i, mix := range h.Mixes {
-		hasBegun := i == 0 || !mix.earliest().After(to)
-		hasEnded := i+1 < len(h.Mixes) && !h.Mixes[i+1].latest().After(from)
-		if !hasBegun || hasEnded {
+		if !h.mayApply(i, from, to) {
 			continue
 		}
 		picked := pickVersion(streamID, mix.Weights)
