--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -170,7 +170,14 @@
 // off: it has never heard from it.
 func TestRouterThatHasJustStartedHasNotHeardTheOneThatIsCutOff(t *testing.T) {
 	names := []string{"r1", "r2", "r3"}
-	for name, isListedBefore := range map[string]bool{"servers join before the start": true, "servers join after the start": false} {
+	for name, play := range map[string]struct {
+		isListedBefore bool
+		started        []string
+	}{
+		"servers join before the start":       {isListedBefore: true, started: []string{"r2"}},
+		"servers join after the start":        {started: []string{"r2"}},
+		"all others have started, none tells": {started: []string{"r1", "r2"}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			f := newStreams(t, names...)
 			f.begin(1)
@@ -178,11 +185,11 @@
 			f.begun = nil
 			f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
 			join := func() { f.setVersions("v1", "v2", "v2", "v2"); f.run(time.Second, names...) }
-			if isListedBefore {
+			if play.isListedBefore {
 				join()
 			}
-			f.restart(t, "r2")
-			if !isListedBefore {
+			f.restart(t, play.started...)
+			if !play.isListedBefore {
 				join()
 			}
 			f.run(4*time.Second, names...)
