dtdispatch: a router that has just started misses a change

Requests were decided by a version that had been replaced more than two seconds before, at routers that the store rejected and at one that it served.

Cause: a router reads the configuration at its start, and leaves the store alone for 2.5 s until it knows the fleet. If the routers that have told it of a newer version stand still before they have passed it on, it knows that it is behind and waits; those that the store rejects have it from nobody meanwhile.

TestRouterThatHasStartedMissesAChange failed before.

Each router that has heard of a newer version and has not got it within half a second reads the store itself now, as those of a large fleet do that follow a reader.

--- a/core/dtdispatch/configspread_test.go
+++ b/core/dtdispatch/configspread_test.go
@@ -61,3 +61,18 @@
 	delegates := 3 * delegatesOfADomain
 	g.Expect(f.configsSent).To(BeNumerically("<=", len(names)+delegates), "one for each router, and one more for those that are linked to others which know it")
 }
+
+// TestRouterThatHasStartedMissesAChange guards against a router that has read the configuration at its start, leaves the store alone until
+// it knows the fleet, and hears of a change from a router that stands still before it has passed it on.
+func TestRouterThatHasStartedMissesAChange(t *testing.T) {
+	g := NewWithT(t)
+	f, names := newLargeFleet(t, 7)
+	started := newRouterInDomain(t, names[1], "d1")
+	started.now = f.routers[names[0]].now
+	f.replace(names[1], started)
+	f.run(500*time.Millisecond, names...)
+	f.dropsConfigs = true
+	f.changeConfig()
+	f.run(operatorBound, names...)
+	g.Expect(started.state.Config.Version).To(BeEquivalentTo(2))
+}
--- a/core/dtdispatch/operatorkeys.go
+++ b/core/dtdispatch/operatorkeys.go
@@ -143,20 +143,22 @@
 		due = later(due, s.OperatorKeys.FirstReadAt.Add(operatorStartupDelay))
 	}
 	if s.followsReader(now) {
-		due = later(due, s.nextFollowerReadAt())
+		due = later(due, s.OperatorKeys.ConfirmedAt.Add(s.maxOperatorAge()+s.operatorReadOffset()))
+	}
+	if at := s.behindReadAt(); !at.IsZero() {
+		due = later(p.NextAt, earlier(due, at))
 	}
 	return later(due, retryAt)
 }
 
-// nextFollowerReadAt returns when a follower asks the store itself: when its knowledge is too old, or once after a newer version is
-// known and has not arrived, as from a reader that sends many copies over a slow link.
-func (s *State) nextFollowerReadAt() time.Time {
+// behindReadAt returns when a router reads the keys once since a newer version is known and has not arrived, as from a reader that sends
+// many copies over a slow link or from a router that stands still, or the zero time.
+func (s *State) behindReadAt() time.Time {
 	k := &s.OperatorKeys
-	readAt := k.ConfirmedAt.Add(s.maxOperatorAge() + s.operatorReadOffset())
 	if k.BehindSince.IsZero() || k.Polling.StartedAt.After(k.BehindSince) {
-		return readAt
+		return time.Time{}
 	}
-	return earlier(readAt, k.BehindSince.Add(syncRetryInterval+s.operatorReadOffset()))
+	return k.BehindSince.Add(syncRetryInterval + s.operatorReadOffset())
 }
 
 // maxOperatorAge returns the age of a follower's knowledge at which it asks the store itself. Until
