--- a/dottereltack/dtrelay/attempt.go
+++ b/dottereltack/dtrelay/attempt.go
@@ -143,16 +143,6 @@
 	a.handleResponse()
 }
 
-// hasCallerLeft reports whether the caller has disconnected before the request was sent, and sets the outcome then. The goroutine
-// that watches the connection may be late, as after the process has stood still.
-func (a *attempt) hasCallerLeft() bool {
-	if !a.exchange.hasCallerLeft() {
-		return false
-	}
-	a.setOutcome(dtdispatch.OutcomeCallerGone, errCallerClosed)
-	return true
-}
-
 // useConn sets the connection. It returns false if it has set the outcome, as the caller has disconnected.
 func (a *attempt) useConn(conn *serverConn) bool {
 	a.conn = conn
--- a/dottereltack/dtrelay/callerwatch.go
+++ b/dottereltack/dtrelay/callerwatch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dottereltack/dottereltack/core/dtdispatch"
 	"github.com/dottereltack/dottereltack/dottereltack/dtsocket"
 )
 
@@ -86,3 +87,13 @@
 	}
 	close(w.done)
 }
+
+// hasCallerLeft reports whether the caller has disconnected before the request was sent, and sets the outcome then. The goroutine
+// that watches the connection may be late, as after the process has stood still.
+func (a *attempt) hasCallerLeft() bool {
+	if !a.exchange.hasCallerLeft() {
+		return false
+	}
+	a.setOutcome(dtdispatch.OutcomeCallerGone, errCallerClosed)
+	return true
+}
