dtdispatch: a router that is listed alone takes its list for that of all routers

What callers saw: streams that began at a new version went on at the old one, at a router that was cut off from the store and the others after a list of routers without the entries of these, as after an outage of the store in which they had lapsed. Cause: without the store a list of servers counts as the only one in use if all listed routers share it; there were none beside itself. Evidence: TestRouterThatIsListedAloneConfirmsAnOldList, 'stream-2 at r3' at v1 instead of v2 before, passes now.

--- a/core/dtdispatch/listage.go
+++ b/core/dtdispatch/listage.go
@@ -67,14 +67,14 @@
 	return sharing
 }
 
-// sharedAsOf returns the time as of which all listed routers have said that they have the list of this one, or the zero time if one of
-// them is not heard of, or a router has another list.
+// sharedAsOf returns the time as of which all other routers have said that they have the list of this one, or the zero time if one of
+// them is not heard of, or has another list. The entries of some may have lapsed.
 func (s *State) sharedAsOf(now time.Time) time.Time {
 	if len(s.Membership.ListedRouters) == 0 || s.sharingRouters(now) == 0 {
 		return time.Time{}
 	}
 	asOf := now
-	for name := range s.Membership.ListedRouters {
+	for name := range s.Membership.LastSeen {
 		if name == s.Settings.RouterName {
 			continue
 		}
--- a/core/dtdispatch/outofstep_test.go
+++ b/core/dtdispatch/outofstep_test.go
@@ -248,3 +248,23 @@
 	f.takeUpAt("r3") // It fails if one goes on at another version.
 	f.run(2*time.Second, names...)
 }
+
+// TestRouterThatIsListedAloneConfirmsAnOldList guards against streams that go on at another version at a router that is cut off after the
+// entries of the others have lapsed: it took its list for that of all routers.
+func TestRouterThatIsListedAloneConfirmsAnOldList(t *testing.T) {
+	names := []string{"r1", "r2", "r3"}
+	f := newStreams(t, names...)
+	f.begin(1)
+	f.takeUpAt("r3") // It has read the record before.
+	f.begun, f.names = nil, []string{"r1", "r2"}
+	f.unlisted = map[string]bool{"r1": true, "r2": true}
+	f.run(15*time.Second, names...)
+	f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+	f.run(2*time.Second, names...)
+	f.setVersions("v1", "v2", "v2", "v2")
+	f.run(time.Second, names...)
+	f.begin(20)
+	f.run(300*time.Millisecond, names...)
+	f.takeUpAt("r3") // It fails if one goes on at another version.
+	f.run(2*time.Second, names...)
+}
