dtdispatch, KNOWN-RED: many streams beside a router that is gone are refused

Cause: since streams beside a router that is dead or cut off during a release go on only if they are listed, and all routers together list 2,048 that need no exception otherwise. Not mended: it needs a larger list, or knowledge that a router is dead.

--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -214,3 +214,33 @@
 		})
 	}
 }
+
+// TestManyStreamsGoOnBesideARouterThatIsGone guards against refusals beside a dead router once more streams are under way than routers may
+// list that need no exception otherwise.
+func TestManyStreamsGoOnBesideARouterThatIsGone(t *testing.T) {
+	rates := []int{60} // In 0.6 s.
+	if *knownRedFlag {
+		rates = append(rates, 240)
+	}
+	names, others := []string{"r1", "r2", "r3"}, []string{"r1", "r2"}
+	for _, rate := range rates {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.areOpen = true
+			f.begin(1)
+			f.takeUpAt(names...)
+			f.names, f.down["r3"] = others, true
+			f.run(time.Second, names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			taken, wentOn := 0, 0
+			for range 20 {
+				f.begun = nil
+				f.begin(rate)
+				f.run(600*time.Millisecond, names...)
+				taken, wentOn = taken+len(f.begun), wentOn+f.takeUpAt(others...)
+			}
+			t.Logf("%d of %d go on", wentOn, taken)
+			f.Expect(wentOn).To(BeNumerically(">", taken*9/10))
+		})
+	}
+}
