--- a/core/dtdispatch/latelist_test.go
+++ b/core/dtdispatch/latelist_test.go
@@ -69,17 +69,28 @@
 // them that is cut off, at one that has started since and has never heard of it.
 func TestRouterStartedBesideOneThatIsCutOffMixes(t *testing.T) {
 	names := []string{"r1", "r2", "r3"}
-	f := newStreams(t, names...)
-	f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
-	f.run(time.Second, names...)
-	f.setVersions("v1", "v2", "v2", "v2")
-	f.run(4*time.Second, names...)
-	f.names = []string{"r3"}
-	f.begin(20)
-	f.run(300*time.Millisecond, names...)
-	f.names = names
-	f.restart(t, "r1")
-	f.takeUpAt("r1") // It fails if one goes on at another version.
+	for name, isBack := range map[string]bool{"cut off": false, "back, and heard for the first time": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newStreams(t, names...)
+			f.isolated, f.rejected = map[string]bool{"r3": true}, map[string]bool{"r3": true}
+			f.run(time.Second, names...)
+			f.setVersions("v1", "v2", "v2", "v2")
+			f.run(4*time.Second, names...)
+			f.names = []string{"r3"}
+			f.begin(20)
+			f.run(300*time.Millisecond, names...)
+			f.names = names
+			if isBack {
+				f.restart(t, "r1", "r2") // Nobody tells r1 of the list of r3.
+				f.run(time.Second, names...)
+				f.isolated, f.rejected = nil, nil
+				f.run(600*time.Millisecond, names...)
+			} else {
+				f.restart(t, "r1")
+			}
+			f.takeUpAt("r1") // It fails if one goes on at another version.
+		})
+	}
 }
 
 // TestStreamsGoOnBesideADeadRouterWhileTheStoreIsAway guards against streams of the only version that are refused for as long as the store
